Areas moved under internal/

Cause: the users' rule for package paths is internal/, two levels deep by area; the areas stood at the root. Renames and import paths alone, no other change. Before and after: go test ./... passes.

--- a/cmd/foxtailwharf/agent.go
+++ b/cmd/foxtailwharf/agent.go
@@ -8,9 +8,9 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
-	"github.com/foxtailwharf/foxtailwharf/process/checker"
-	"github.com/foxtailwharf/foxtailwharf/process/worker"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/checker"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/worker"
 )
 
 type agentCommand struct {
--- a/cmd/foxtailwharf/check.go
+++ b/cmd/foxtailwharf/check.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/checker"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/checker"
 )
 
 type checkCommand struct {
--- a/cmd/foxtailwharf/documents.go
+++ b/cmd/foxtailwharf/documents.go
@@ -12,9 +12,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
-	"github.com/foxtailwharf/foxtailwharf/process/editor"
-	"github.com/foxtailwharf/foxtailwharf/process/storer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/editor"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/storer"
 )
 
 // editTimeout bounds one call to the platform.
--- a/cmd/foxtailwharf/entry.go
+++ b/cmd/foxtailwharf/entry.go
@@ -8,9 +8,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
-	"github.com/foxtailwharf/foxtailwharf/process/checker"
-	"github.com/foxtailwharf/foxtailwharf/process/receiver"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/checker"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/receiver"
 )
 
 type entryCommand struct {
--- a/cmd/foxtailwharf/process_test.go
+++ b/cmd/foxtailwharf/process_test.go
@@ -19,9 +19,9 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
-	"github.com/foxtailwharf/foxtailwharf/process/editor"
-	"github.com/foxtailwharf/foxtailwharf/process/storer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/editor"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/storer"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 	"github.com/foxtailwharf/foxtailwharf/standin/fleet"
 )
--- a/connection/dialer/dialer_test.go
+++ b/internal/connection/dialer/dialer_test.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 )
 
 // authority signs certificates for 127.0.0.1.
--- a/process/checker/checker_test.go
+++ b/internal/process/checker/checker_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
-	"github.com/foxtailwharf/foxtailwharf/process/checker"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/checker"
 )
 
 // TestFaults writes down what is said of each faulty file in testdata.
--- a/process/editor/editor.go
+++ b/internal/process/editor/editor.go
@@ -14,9 +14,9 @@
 	"github.com/pmezard/go-difflib/difflib"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/checker"
-	"github.com/foxtailwharf/foxtailwharf/process/pauser"
-	"github.com/foxtailwharf/foxtailwharf/process/watcher"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/checker"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/watcher"
 )
 
 const (
--- a/process/gossiper/answer.go
+++ b/internal/process/gossiper/answer.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/keeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/keeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/process/gossiper/duties.go
+++ b/internal/process/gossiper/duties.go
@@ -8,9 +8,9 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/messenger"
-	"github.com/foxtailwharf/foxtailwharf/process/pauser"
-	"github.com/foxtailwharf/foxtailwharf/process/tracker"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/tracker"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/process/gossiper/exchange.go
+++ b/internal/process/gossiper/exchange.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/messenger"
-	"github.com/foxtailwharf/foxtailwharf/process/keeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/keeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/process/keeper/keeper.go
+++ b/internal/process/keeper/keeper.go
@@ -10,7 +10,7 @@
 	"sync"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/checker"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/checker"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/process/keeper/keeper_test.go
+++ b/internal/process/keeper/keeper_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/keeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/keeper"
 )
 
 func init() {
--- a/process/receiver/front.go
+++ b/internal/process/receiver/front.go
@@ -10,12 +10,12 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/keeper"
-	"github.com/foxtailwharf/foxtailwharf/process/recorder"
-	"github.com/foxtailwharf/foxtailwharf/request/admitter"
-	"github.com/foxtailwharf/foxtailwharf/request/refuser"
-	"github.com/foxtailwharf/foxtailwharf/request/relayer"
-	"github.com/foxtailwharf/foxtailwharf/request/ticketer"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/keeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/admitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/refuser"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/relayer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/ticketer"
 )
 
 // The callers' protocol.
--- a/process/receiver/ledger.go
+++ b/internal/process/receiver/ledger.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/foxtailwharf/foxtailwharf/request/admitter"
-	"github.com/foxtailwharf/foxtailwharf/request/quarantiner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/admitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/process/storer/storer.go
+++ b/internal/process/storer/storer.go
@@ -16,7 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 )
 
 // The platform's protocol.
--- a/process/tracker/tracker_test.go
+++ b/internal/process/tracker/tracker_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/tracker"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/tracker"
 )
 
 func init() {
--- a/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/keeper"
-	"github.com/foxtailwharf/foxtailwharf/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/keeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
 )
 
 // Constants of the watch.
--- a/process/worker/status.go
+++ b/internal/process/worker/status.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/keeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/keeper"
 )
 
 // Status is the view that an agent has.
--- a/request/admitter/admitter_test.go
+++ b/internal/request/admitter/admitter_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/foxtailwharf/foxtailwharf/request/admitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/admitter"
 )
 
 func init() {
--- a/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/request/deduplicator/deduplicator_test.go
+++ b/internal/request/deduplicator/deduplicator_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/request/deduplicator"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/deduplicator"
 )
 
 func init() {
--- a/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/request/scheduler"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/scheduler"
 )
 
 // maxSuspects is the number of suspects that wait at one gate.
--- a/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/foxtailwharf/foxtailwharf/request/quarantiner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 )
 
 func init() {
--- a/request/relayer/exchange.go
+++ b/internal/request/relayer/exchange.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/recorder"
-	"github.com/foxtailwharf/foxtailwharf/request/router"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/router"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/request/relayer/once.go
+++ b/internal/request/relayer/once.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/pauser"
-	"github.com/foxtailwharf/foxtailwharf/request/claimer"
-	"github.com/foxtailwharf/foxtailwharf/request/router"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/claimer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/router"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/request/relayer/output.go
+++ b/internal/request/relayer/output.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/recorder"
-	"github.com/foxtailwharf/foxtailwharf/request/splitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -13,13 +13,13 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
-	"github.com/foxtailwharf/foxtailwharf/process/pauser"
-	"github.com/foxtailwharf/foxtailwharf/process/recorder"
-	"github.com/foxtailwharf/foxtailwharf/request/budgeter"
-	"github.com/foxtailwharf/foxtailwharf/request/claimer"
-	"github.com/foxtailwharf/foxtailwharf/request/quarantiner"
-	"github.com/foxtailwharf/foxtailwharf/request/router"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/budgeter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/claimer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/router"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/request/relayer/relayer_test.go
+++ b/internal/request/relayer/relayer_test.go
@@ -15,11 +15,11 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/recorder"
-	"github.com/foxtailwharf/foxtailwharf/request/budgeter"
-	"github.com/foxtailwharf/foxtailwharf/request/relayer"
-	"github.com/foxtailwharf/foxtailwharf/request/router"
-	"github.com/foxtailwharf/foxtailwharf/request/runner"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/budgeter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/relayer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/router"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/runner"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
--- a/request/relayer/try.go
+++ b/internal/request/relayer/try.go
@@ -14,8 +14,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/request/runner"
-	"github.com/foxtailwharf/foxtailwharf/request/splitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/runner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/request/runner/copier.go
+++ b/internal/request/runner/copier.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/request/splitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 )
 
 // copier passes an answer on piece by piece: whole events of a stream, which are
--- a/request/runner/once.go
+++ b/internal/request/runner/once.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/request/deduplicator"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/deduplicator"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -14,11 +14,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/recorder"
-	"github.com/foxtailwharf/foxtailwharf/request/deduplicator"
-	"github.com/foxtailwharf/foxtailwharf/request/dispatcher"
-	"github.com/foxtailwharf/foxtailwharf/request/scheduler"
-	"github.com/foxtailwharf/foxtailwharf/request/splitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/deduplicator"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/dispatcher"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/scheduler"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/request/splitter/splitter_test.go
+++ b/internal/request/splitter/splitter_test.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
-	"github.com/foxtailwharf/foxtailwharf/request/splitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 )
 
 func init() {
--- a/version/fetcher/session.go
+++ b/internal/version/fetcher/session.go
@@ -11,11 +11,11 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/messenger"
-	"github.com/foxtailwharf/foxtailwharf/process/pauser"
-	"github.com/foxtailwharf/foxtailwharf/version/holder"
-	"github.com/foxtailwharf/foxtailwharf/version/selector"
-	"github.com/foxtailwharf/foxtailwharf/version/sourcer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/selector"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/sourcer"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
--- a/version/loader/loader.go
+++ b/internal/version/loader/loader.go
@@ -12,10 +12,10 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/pauser"
-	"github.com/foxtailwharf/foxtailwharf/request/dispatcher"
-	"github.com/foxtailwharf/foxtailwharf/version/fetcher"
-	"github.com/foxtailwharf/foxtailwharf/version/holder"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/dispatcher"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/fetcher"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
 )
 
 // Constants of loading.
--- a/version/selector/selector_test.go
+++ b/internal/version/selector/selector_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/version/selector"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/selector"
 )
 
 func init() {
--- a/version/sourcer/sourcer.go
+++ b/internal/version/sourcer/sourcer.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 )
 
 // Paths of manifests and chunks, followed by a digest.
--- a/version/uploader/uploader.go
+++ b/internal/version/uploader/uploader.go
@@ -12,9 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/foxtailwharf/foxtailwharf/process/pauser"
-	"github.com/foxtailwharf/foxtailwharf/version/holder"
-	"github.com/foxtailwharf/foxtailwharf/version/pacer"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/pacer"
 )
 
 const (
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/driver"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/driver"
 )
 
 // Marks in a prompt by which a caller of the stand-in provokes faults.
--- a/standin/fleet/cost_test.go
+++ b/standin/fleet/cost_test.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
-	"github.com/foxtailwharf/foxtailwharf/connection/driver"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/driver"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 	"github.com/foxtailwharf/foxtailwharf/standin/fleet"
 )
--- a/standin/fleet/demo.go
+++ b/standin/fleet/demo.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 )
 
--- a/standin/fleet/documents_test.go
+++ b/standin/fleet/documents_test.go
@@ -14,8 +14,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/editor"
-	"github.com/foxtailwharf/foxtailwharf/process/keeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/editor"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/keeper"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 	"github.com/foxtailwharf/foxtailwharf/standin/fleet"
 )
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -13,10 +13,10 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/editor"
-	"github.com/foxtailwharf/foxtailwharf/process/receiver"
-	"github.com/foxtailwharf/foxtailwharf/process/storer"
-	"github.com/foxtailwharf/foxtailwharf/process/worker"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/editor"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/receiver"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/storer"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/worker"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 )
 
--- a/standin/fleet/once_test.go
+++ b/standin/fleet/once_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/request/claimer"
-	"github.com/foxtailwharf/foxtailwharf/request/runner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/claimer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/runner"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 	"github.com/foxtailwharf/foxtailwharf/standin/fleet"
 	"github.com/foxtailwharf/foxtailwharf/wire"
--- a/standin/origin.go
+++ b/standin/origin.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/version/sourcer"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/sourcer"
 )
 
 // OriginFaults are the switches of an Origin.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/process/storer"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/storer"
 )
 
 // maxWatch is how long the stand-in holds a waiting watch.
