Random draws of the chaos run belong to one goroutine; a test path follows the move

Cause: reserveRepeatedly drew from its rand.Rand in two goroutines, so a seed did not repeat its run; the check test still named the old folder. Ruled out: a shared locked source, which would keep the order of draws undetermined. Conclusion: draws are made before the goroutine starts.

--- a/cmd/foxtailwharf/process_test.go
+++ b/cmd/foxtailwharf/process_test.go
@@ -381,7 +381,7 @@
 		{"agent-unknown.yaml", 1, `agent-unknown.yaml:9:1: $: unknown field "Uploadz"`},
 	}
 	for _, tt := range tests {
-		command := exec.Command(binary, "check", filepath.Join("..", "..", "process", "checker", "testdata", tt.file))
+		command := exec.Command(binary, "check", filepath.Join("..", "..", "internal", "process", "checker", "testdata", tt.file))
 		out, _ := command.CombinedOutput()
 		if got := command.ProcessState.ExitCode(); got != tt.code || !bytes.Contains(out, []byte(tt.want)) {
 			t.Errorf("%s: exit %d, printed %s", tt.file, got, out)
--- a/standin/fleet/chaos_test.go
+++ b/standin/fleet/chaos_test.go
@@ -211,9 +211,12 @@
 	for range 4 {
 		if random.IntN(6) == 0 {
 			// A second sender of the same key at the same time.
+			// Each sender's entry is drawn before the goroutine starts: the source of
+			// random numbers belongs to this one alone.
+			first, second := random.IntN(6), random.IntN(6)
 			var both sync.WaitGroup
-			both.Go(func() { c.reserveOnce(name, random.IntN(6), ticket) })
-			c.reserveOnce(name, (random.IntN(6)+1)%6, ticket)
+			both.Go(func() { c.reserveOnce(name, first, ticket) })
+			c.reserveOnce(name, (second+1)%6, ticket)
 			both.Wait()
 		}
 		a := c.reserveOnce(name, random.IntN(6), ticket)
