--- a/cmd/foxtailwharf/check.go
+++ b/cmd/foxtailwharf/check.go
@@ -18,7 +18,8 @@
 // Help explains the command to a person.
 func (c *checkCommand) Help() string {
 	return `Prints every fault as FILE:LINE:COLUMN and exits with 1 if there is any. The kind of
-file is told from its fields: a document has Kind, an entry's settings have Callers.`
+file is told from its fields: a document has Kind, settings for a fleet that the
+platform lists have Store, other settings of an entry have Callers.`
 }
 
 // Run checks the file.
@@ -44,7 +45,10 @@
 	}
 	_, isDocument := fields["Kind"]
 	_, isEntry := fields["Callers"]
+	_, isFleet := fields["Store"]
 	switch {
+	case isFleet:
+		_, err = checker.FleetSettings(text)
 	case isDocument:
 		_, err = checker.Document(text)
 	case isEntry:
--- a/cmd/foxtailwharf/main.go
+++ b/cmd/foxtailwharf/main.go
@@ -22,6 +22,7 @@
 // cli lists the commands.
 type cli struct {
 	Entry  entryCommand  `cmd:"" help:"Run an entry: take callers' requests and relay them to agents."`
+	Fleet  fleetCommand  `cmd:"" help:"Run an entry or an agent on a platform that lists upstreams and keeps the configuration."`
 	Agent  agentCommand  `cmd:"" help:"Run an agent beside one upstream: queue and run requests, fetch and load weights."`
 	Check  checkCommand  `cmd:"" help:"Check a settings file or a document and print every fault with line and column."`
 	Apply  applyCommand  `cmd:"" help:"Write a document to the platform's store. A lost race changes nothing and shows who won."`
--- a/internal/process/checker/checker.go
+++ b/internal/process/checker/checker.go
@@ -42,6 +42,11 @@
 	return s, read(text, &s)
 }
 
+// FleetSettings reads the settings of a process of a fleet that the platform lists.
+func FleetSettings(text []byte) (s foxtailwharf.FleetSettings, err error) {
+	return s, read(text, &s)
+}
+
 // Document reads a document of any kind and returns its name.
 func Document(text []byte) (id foxtailwharf.DocumentID, err error) {
 	var head struct {
--- /dev/null
+++ b/internal/process/distributor/distributor.go
@@ -0,0 +1,323 @@
+// Package distributor is an entry of a fleet that the platform lists: it follows the
+// store, hears the agents and the other entries, and forwards callers' requests
+// straight to upstreams.
+package distributor
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/exchanger"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/forwarder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/rationer"
+)
+
+// Constants of an entry.
+const (
+	// proofMargin is kept from the time within which a key must stop working.
+	proofMargin = 300 * time.Millisecond
+	// switchMargin is kept from the time after which no call may begin on old weights:
+	// a call may wait in the engine's queue.
+	switchMargin = time.Second
+	// idleTime is how long a caller's connection may be idle, and headTime how long its
+	// head may take; both are above what the operators allow callers.
+	idleTime = time.Minute
+	headTime = 10 * time.Second
+	// headBytes bounds the head of a caller's request.
+	headBytes = 64 << 10
+	// tidyInterval is the time between two clean-ups of idle connections.
+	tidyInterval = time.Second
+	// noticeTime is how long a leaving entry goes on taking connections, so that the
+	// balancer, which asks once a second and counts two misses, sends no more.
+	noticeTime = 2500 * time.Millisecond
+)
+
+// Config holds the settings of a Distributor.
+type Config struct {
+	Settings foxtailwharf.FleetSettings
+	Store    foxtailwharf.FleetStore
+	Dialect  foxtailwharf.CallDialect
+	Network  foxtailwharf.Network
+	Packets  notifier.Packets
+	Clock    follower.Clock
+	Log      *zap.Logger
+	Seed     uint64
+}
+
+// Distributor is one entry.
+type Distributor struct {
+	c         Config
+	follower  *follower.Follower
+	assigner  *assigner.Assigner
+	exchanger *exchanger.Exchanger
+	forwarder *forwarder.Forwarder
+	recorder  *recorder.Recorder
+	notifier  *notifier.Notifier
+	messages  *messenger.Server
+	client    *messenger.Client
+	servers   []*server
+	duties    []duty
+	cancel    context.CancelFunc
+	isLeaving atomic.Bool
+
+	mu      sync.Mutex
+	named   map[string]named // by model
+	agents  []foxtailwharf.Upstream
+	digests map[netip.AddrPort]string // of the list that each agent has
+	entries map[netip.AddrPort]time.Time
+}
+
+// named is a release with the moment at which the entry first heard of it.
+type named struct {
+	version int64
+	at      time.Time
+}
+
+// duty is a part of the entry that runs beside the others.
+type duty interface {
+	run(ctx context.Context)
+	ended() <-chan struct{}
+}
+
+// server serves one listener.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+	log      *zap.Logger
+	done     chan struct{}
+}
+
+func (s *server) run() {
+	defer close(s.done)
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		s.log.Error("entry: A server ended.", zap.Error(err))
+	}
+}
+
+// New builds an entry that has not started.
+func New(c Config) *Distributor {
+	d := &Distributor{
+		c:        c,
+		recorder: recorder.New(),
+		messages: messenger.NewServer(),
+		client:   messenger.NewClient(c.Network),
+		named:    make(map[string]named),
+		digests:  make(map[netip.AddrPort]string),
+		entries:  make(map[netip.AddrPort]time.Time),
+	}
+	d.assigner = assigner.New(balancer.New(balancer.Config{FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer")}))
+	d.exchanger = exchanger.New(exchanger.Config{Network: c.Network})
+	d.forwarder = forwarder.New(forwarder.Config{
+		Dialect:   c.Dialect,
+		Assigner:  d.assigner,
+		Exchanger: d.exchanger,
+		Recorder:  d.recorder,
+		Clock:     c.Clock,
+		ProofLife: c.Settings.KeyLife - proofMargin,
+		Ration:    rationer.Config{Ratio: c.Settings.RepeatRatio * repeatPart, Window: c.Settings.RepeatWindow, Extra: d.repeatExtra(1)},
+		Warn:      d.warn,
+		Random:    d.random("calls"),
+		Log:       c.Log,
+	})
+	d.follower = follower.New(follower.Config{Store: c.Store, Clock: c.Clock, Changed: d.changed, Log: c.Log})
+	return d
+}
+
+func (d *Distributor) random(purpose string) *rand.Rand {
+	return rand.New(rand.NewPCG(d.c.Seed, foxtailwharf.Score(d.c.Settings.Name, purpose)))
+}
+
+// Constants of the budget of repeats, which all entries share.
+const (
+	// repeatPart is the part of the allowed repeats that entries use.
+	repeatPart = 0.7
+	// fewestEntries is assumed while an entry has not heard of others.
+	fewestEntries = 8
+)
+
+// repeatExtra returns this entry's part of the repeats that are allowed on top.
+func (d *Distributor) repeatExtra(entries int) float64 {
+	return d.c.Settings.RepeatExtra * repeatPart / float64(max(entries, fewestEntries))
+}
+
+// Start listens and begins all duties. They end with Stop, or at once with the context.
+func (d *Distributor) Start(ctx context.Context) error {
+	s := d.c.Settings
+	ctx, d.cancel = context.WithCancel(ctx)
+	socket, err := d.c.Packets.ListenPacket(ctx, s.Peers(s.Address))
+	if err != nil {
+		return errors.Wrap(err, "Distributor.Start")
+	}
+	d.notifier = notifier.New(notifier.Config{Socket: socket, Heard: d.hearReport, Log: d.c.Log})
+	messenger.Register(d.messages, methodVouch, d.vouch)
+	listeners := []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{s.Peers(s.Address), d.peersMux()},
+		{s.Ready, http.HandlerFunc(d.serveReady)},
+		{s.Callers, d.forwarder},
+	}
+	for _, l := range listeners {
+		if err := d.serve(ctx, l.address, l.handler); err != nil {
+			return errors.Wrap(err, "Distributor.Start")
+		}
+	}
+	d.notifier.Start()
+	d.follower.Start(ctx)
+	d.duties = []duty{
+		&tidier{d: d, done: make(chan struct{})},
+		&caller{d: d, done: make(chan struct{})},
+		&asker{d: d, done: make(chan struct{})},
+	}
+	for _, duty := range d.duties {
+		go duty.run(ctx)
+	}
+	d.c.Log.Info("entry: Started.", zap.String("Name", s.Name), zap.Stringer("Callers", s.Callers))
+	return nil
+}
+
+func (d *Distributor) serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
+	listener, err := d.c.Network.Listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	s := &server{
+		http:     &http.Server{Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: headBytes, ErrorLog: zap.NewStdLog(d.c.Log)},
+		listener: listener,
+		log:      d.c.Log,
+		done:     make(chan struct{}),
+	}
+	d.servers = append(d.servers, s)
+	go s.run()
+	return nil
+}
+
+func (d *Distributor) peersMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+messenger.Path, d.messages)
+	mux.Handle("GET /metrics", d.recorder)
+	return mux
+}
+
+// serveReady answers the balancer, which reads the status alone.
+func (d *Distributor) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if d.isLeaving.Load() || !d.forwarder.IsReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// changed puts a new view of the store in force.
+func (d *Distributor) changed(v follower.View) {
+	d.noteReleases(v)
+	d.forwarder.SetView(v)
+	d.assigner.Update(func(b *balancer.Balancer) {
+		b.Set(v.Upstreams)
+		d.setReleases(b, v)
+	})
+}
+
+// noteReleases keeps the moment at which each release was first heard of, and the list
+// of agents.
+func (d *Distributor) noteReleases(v follower.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range v.Releases {
+		if r.Version > d.named[r.Model].version {
+			d.named[r.Model] = named{version: r.Version, at: time.Now()}
+		}
+	}
+	d.agents = nil
+	if v.Configuration == nil {
+		return
+	}
+	for _, u := range v.Upstreams {
+		if v.Configuration.Services[u.Service].Engine != nil {
+			d.agents = append(d.agents, u)
+		}
+	}
+}
+
+// setReleases tells the balancer which weights may answer.
+func (d *Distributor) setReleases(b *balancer.Balancer, v follower.View) {
+	if v.Configuration == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, s := range v.Configuration.Services {
+		if s.Engine == nil {
+			continue
+		}
+		if r, isNamed := d.named[s.Engine.Model]; isNamed {
+			b.SetRelease(name, r.version, r.at.Add(d.c.Settings.Switch-switchMargin))
+		}
+	}
+}
+
+// tidier closes idle connections to upstreams that are gone.
+type tidier struct {
+	d    *Distributor
+	done chan struct{}
+}
+
+func (t *tidier) run(ctx context.Context) {
+	defer close(t.done)
+	for pauser.Sleep(ctx, tidyInterval) {
+		listed := make(map[string]bool)
+		for _, u := range t.d.follower.View().Upstreams {
+			listed[u.ID+"@"+u.Address.String()] = true
+		}
+		t.d.exchanger.Forget(func(peer string) bool { return listed[peer] })
+	}
+}
+
+func (t *tidier) ended() <-chan struct{} {
+	return t.done
+}
+
+// Stop stops gracefully: the health check fails first, callers' calls go on for the
+// time that the balancer needs to notice, and then those in progress are finished. The
+// context bounds it.
+func (d *Distributor) Stop(ctx context.Context) error {
+	d.c.Log.Info("entry: Stopping.")
+	d.isLeaving.Store(true)
+	d.forwarder.Leave()
+	pauser.Sleep(ctx, noticeTime)
+	var err error
+	for i := len(d.servers) - 1; i >= 0; i-- {
+		if shutErr := d.servers[i].http.Shutdown(ctx); shutErr != nil && err == nil {
+			err = errors.Wrap(shutErr, "Distributor.Stop")
+			_ = d.servers[i].http.Close()
+		}
+		<-d.servers[i].done
+	}
+	d.cancel()
+	d.messages.Close()
+	d.client.Close()
+	d.exchanger.Shut()
+	d.notifier.Close()
+	d.follower.Wait()
+	for _, duty := range d.duties {
+		<-duty.ended()
+	}
+	d.c.Log.Info("entry: Stopped.", zap.Error(err))
+	return err
+}
--- /dev/null
+++ b/internal/process/provisioner/provisioner.go
@@ -0,0 +1,245 @@
+// Package provisioner is an agent of a fleet that the platform lists. It brings the
+// engine on its machine to the weights that the entries name, sharing chunks with the
+// other agents, and tells the entries the engine's load. It needs nothing from the
+// store: what it must know the entries tell it.
+package provisioner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/fetcher"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/sourcer"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/uploader"
+)
+
+// Constants of an agent.
+const (
+	// uploadPart is the part of the machine's link that uploads may take: the rest is for
+	// the engine's streams.
+	uploadPart = 0.88
+	// uploads is the number of chunks that are uploaded at a time.
+	uploads = 4
+	// neighbours is the number of agents with which chunks are exchanged.
+	neighbours = 16
+	// patience, sponsorWait and stall are the times of the fetcher, for chunks that take
+	// some hundredths of a second each.
+	patience    = 700 * time.Millisecond
+	sponsorWait = 2 * time.Second
+	stall       = 1200 * time.Millisecond
+	// pathReleases is where agents give each other manifests by version.
+	pathReleases = "/releases/"
+	bitsPerByte  = 8
+)
+
+// Config holds the settings of a Provisioner.
+type Config struct {
+	Settings foxtailwharf.FleetSettings
+	Slot     foxtailwharf.ChunkSlot
+	Origin   Origin
+	Network  foxtailwharf.Network
+	Packets  notifier.Packets
+	Log      *zap.Logger
+	Seed     uint64
+}
+
+// Origin is the origin of weights, whose address the entries tell.
+type Origin interface {
+	foxtailwharf.ReleaseOrigin
+	SetAddress(address netip.AddrPort)
+	// Learn takes in a manifest that was read elsewhere.
+	Learn(release foxtailwharf.Release, manifest foxtailwharf.Manifest)
+}
+
+// Provisioner is one agent.
+type Provisioner struct {
+	c         Config
+	holder    *holder.Holder
+	uploader  *uploader.Uploader
+	fetcher   *fetcher.Fetcher
+	messages  *messenger.Server
+	client    *messenger.Client
+	http      *http.Client
+	notifier  *notifier.Notifier
+	recorder  *recorder.Recorder
+	server    *http.Server
+	served    chan struct{}
+	reporter  *reporter
+	installer *install
+	cancel    context.CancelFunc
+
+	mu      sync.Mutex
+	notice  notice
+	agents  []foxtailwharf.Instance
+	digest  string                       // of the list of agents
+	domain  []string                     // machines of the own failure domain
+	entries map[netip.AddrPort]time.Time // when each last sent a notice
+	load    foxtailwharf.UpstreamLoad
+	digests map[foxtailwharf.Release]string // of manifests
+}
+
+// notice is what the entries have told.
+type notice struct {
+	release foxtailwharf.Release
+	named   time.Time // when the release was first heard of anywhere
+}
+
+// New builds an agent that has not started.
+func New(c Config) *Provisioner {
+	p := &Provisioner{
+		c:        c,
+		holder:   holder.New(),
+		messages: messenger.NewServer(),
+		client:   messenger.NewClient(c.Network),
+		http:     sourcer.Client(c.Network),
+		recorder: recorder.New(),
+		served:   make(chan struct{}),
+		entries:  make(map[netip.AddrPort]time.Time),
+		digests:  make(map[foxtailwharf.Release]string),
+	}
+	rate := int64(c.Settings.LinkMegabits * 1e6 / bitsPerByte * uploadPart)
+	p.uploader = uploader.New(uploader.Config{Holder: p.holder, Uploads: uploads, Rate: rate})
+	p.fetcher = fetcher.New(fetcher.Config{
+		Self:       p.self,
+		Holders:    p.holders,
+		Holder:     p.holder,
+		Client:     p.client,
+		HTTP:       p.http,
+		Origin:     c.Origin,
+		Policy:     foxtailwharf.FetchSwarm,
+		Neighbours: neighbours,
+		Patience:   patience,
+		Wait:       sponsorWait,
+		Stall:      stall,
+		IsPressed:  func() bool { return false },
+		Random:     rand.New(rand.NewPCG(c.Seed, foxtailwharf.Score(c.Settings.Name, "fetcher"))),
+		Log:        c.Log,
+	})
+	p.reporter = &reporter{p: p, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	p.installer = &install{p: p, done: make(chan struct{})}
+	return p
+}
+
+// self is this agent as the others know it: by the machine.
+func (p *Provisioner) self() foxtailwharf.Instance {
+	return p.instance(p.c.Settings.Address, p.c.Settings.FailureDomain)
+}
+
+func (p *Provisioner) instance(machine netip.Addr, domain string) foxtailwharf.Instance {
+	return foxtailwharf.Instance{
+		Name:          machine.String(),
+		Incarnation:   machine.String(),
+		Role:          foxtailwharf.RoleAgent,
+		Address:       p.c.Settings.Peers(machine),
+		FailureDomain: domain,
+		Region:        p.c.Settings.Regions[domain],
+	}
+}
+
+// holders returns the agents that should have the version.
+func (p *Provisioner) holders() []foxtailwharf.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.agents
+}
+
+// Start listens and begins all duties. They end with Stop, or at once with the context.
+func (p *Provisioner) Start(ctx context.Context) error {
+	s := p.c.Settings
+	ctx, p.cancel = context.WithCancel(ctx)
+	socket, err := p.c.Packets.ListenPacket(ctx, s.Peers(s.Address))
+	if err != nil {
+		return errors.Wrap(err, "Provisioner.Start")
+	}
+	p.notifier = notifier.New(notifier.Config{Socket: socket, Heard: p.hearNotice, Log: p.c.Log})
+	listener, err := p.c.Network.Listen(ctx, s.Peers(s.Address))
+	if err != nil {
+		_ = socket.Close()
+		return errors.Wrap(err, "Provisioner.Start")
+	}
+	p.server = &http.Server{Handler: p.mux(), ReadHeaderTimeout: stall, ErrorLog: zap.NewStdLog(p.c.Log)}
+	go p.run(listener)
+	p.notifier.Start()
+	p.fetcher.Start(ctx)
+	go p.reporter.run(ctx)
+	go p.installer.run(ctx)
+	p.c.Log.Info("agent: Started.", zap.String("Name", s.Name), zap.Stringer("Upstream", s.Upstream))
+	return nil
+}
+
+// run serves the other agents.
+func (p *Provisioner) run(listener net.Listener) {
+	defer close(p.served)
+	if err := p.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		p.c.Log.Error("agent: The server ended.", zap.Error(err))
+	}
+}
+
+func (p *Provisioner) mux() http.Handler {
+	p.fetcher.Register(p.messages)
+	mux := http.NewServeMux()
+	mux.Handle("GET "+messenger.Path, p.messages)
+	mux.Handle("GET /metrics", p.recorder)
+	mux.HandleFunc("GET "+sourcer.PathManifests, p.uploader.ServeManifest)
+	mux.HandleFunc("GET "+sourcer.PathChunks, p.uploader.ServeChunk)
+	mux.HandleFunc("GET "+pathReleases+"{Model}/{Version}", p.serveRelease)
+	return mux
+}
+
+// serveRelease answers with the manifest of a release.
+func (p *Provisioner) serveRelease(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseInt(r.PathValue("Version"), 10, 64)
+	if err != nil {
+		http.Error(w, "the version must be a number", http.StatusBadRequest)
+		return
+	}
+	text, isHeld := p.manifest(foxtailwharf.Release{Model: r.PathValue("Model"), Version: version})
+	if !isHeld {
+		http.NotFound(w, r)
+		return
+	}
+	if _, err := w.Write(text); err != nil {
+		p.c.Log.Debug("agent: A manifest was not sent.", zap.Error(err))
+	}
+}
+
+// manifest returns the manifest of a release where it is held.
+func (p *Provisioner) manifest(release foxtailwharf.Release) ([]byte, bool) {
+	p.mu.Lock()
+	digest, isKnown := p.digests[release]
+	p.mu.Unlock()
+	if !isKnown {
+		return nil, false
+	}
+	return p.holder.Manifest(digest)
+}
+
+// Stop ends all duties. The engine goes on by itself.
+func (p *Provisioner) Stop(ctx context.Context) error {
+	p.c.Log.Info("agent: Stopping.")
+	p.cancel()
+	err := p.server.Shutdown(ctx)
+	<-p.served
+	p.messages.Close()
+	p.client.Close()
+	p.notifier.Close()
+	<-p.fetcher.Done()
+	<-p.reporter.done
+	<-p.installer.done
+	p.c.Log.Info("agent: Stopped.", zap.Error(err))
+	return errors.Wrap(err, "Provisioner.Stop")
+}
--- /dev/null
+++ b/internal/request/balancer/balancer.go
@@ -0,0 +1,304 @@
+// Package balancer chooses the upstream for a call among those that the platform
+// lists. It answers the load of many entries that share few upstreams: each entry
+// knows its own calls exactly, and those of the others by the agents' reports, which
+// are about a tenth of a second old. It does no I/O and holds no clock.
+package balancer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf"
+)
+
+// Constants of the choice.
+const (
+	// reportLife is how long a report says something about the calls of other entries.
+	reportLife = 600 * time.Millisecond
+	// downLife is how long a report that an upstream is down, or loads, is believed
+	// without another one.
+	downLife = 1500 * time.Millisecond
+	// faultsToEject is the number of faults in a row after which an upstream is left out.
+	faultsToEject = 3
+	// ejectTime is how long it is left out at first; it doubles with each fault after.
+	ejectTime = 500 * time.Millisecond
+	// maxEjectTime bounds the doubling, so that an upstream which is back is tried soon.
+	maxEjectTime = 2 * time.Second
+	// farCost is what another failure domain counts, in calls in flight.
+	farCost = 0.9
+	// maxEjectedPart is the part of a service's upstreams that may be left out at once:
+	// faults of more than that are not the upstreams' own.
+	maxEjectedPart = 0.5
+)
+
+// Config holds the settings of a Balancer.
+type Config struct {
+	FailureDomain string
+	Random        *rand.Rand
+}
+
+// Want describes a call that needs an upstream.
+type Want struct {
+	Service string
+	// Exclude names upstreams not to be chosen, by ID.
+	Exclude map[string]bool
+	// IsModel says that the upstream must hold weights.
+	IsModel bool
+	// Weights is the only version that may answer; 0 for any that is in force.
+	Weights int64
+	// Room is how many calls more than its slots, or less, an upstream may hold.
+	Room float64
+	// IsUnbounded says that the call goes even to a full upstream.
+	IsUnbounded bool
+}
+
+// Balancer holds what one entry knows of the upstreams.
+type Balancer struct {
+	c         Config
+	byID      map[string]*upstream
+	byService map[string][]*upstream
+	byAddress map[netip.AddrPort]*upstream
+	releases  map[string]release // by service
+}
+
+// release is the newest version named for a service.
+type release struct {
+	version int64
+	// mustAt is when older versions stop getting calls.
+	mustAt time.Time
+}
+
+// upstream is one instance with what is known of its load.
+type upstream struct {
+	foxtailwharf.Upstream
+	own          int // calls of this entry in flight
+	load         foxtailwharf.UpstreamLoad
+	reportedAt   time.Time // zero before the first report
+	others       float64   // calls of other entries at the report
+	faults       int       // in a row
+	ejections    int
+	ejectedUntil time.Time
+	notRunUntil  time.Time
+}
+
+// New returns a balancer that knows no upstreams.
+func New(c Config) *Balancer {
+	return &Balancer{
+		c:         c,
+		byID:      make(map[string]*upstream),
+		byService: make(map[string][]*upstream),
+		byAddress: make(map[netip.AddrPort]*upstream),
+		releases:  make(map[string]release),
+	}
+}
+
+// SetRelease names the newest version of a service's weights, and from when on no other
+// may answer.
+func (b *Balancer) SetRelease(service string, version int64, mustAt time.Time) {
+	if version > b.releases[service].version {
+		b.releases[service] = release{version: version, mustAt: mustAt}
+	}
+}
+
+// Set replaces the list. What is known of upstreams that stay is kept; a new start of
+// a process is a new upstream.
+func (b *Balancer) Set(list []foxtailwharf.Upstream) {
+	byID := make(map[string]*upstream, len(list))
+	b.byService = make(map[string][]*upstream)
+	b.byAddress = make(map[netip.AddrPort]*upstream, len(list))
+	for _, listed := range list {
+		u := b.byID[listed.ID]
+		if u == nil || !u.Born.Equal(listed.Born) || u.Address != listed.Address {
+			u = &upstream{}
+		}
+		u.Upstream = listed
+		byID[listed.ID] = u
+		b.byService[listed.Service] = append(b.byService[listed.Service], u)
+		b.byAddress[listed.Address] = u
+	}
+	b.byID = byID
+}
+
+// Report takes in what an agent tells of the upstream at an address.
+func (b *Balancer) Report(now time.Time, address netip.AddrPort, load foxtailwharf.UpstreamLoad) {
+	u := b.byAddress[address]
+	if u == nil {
+		return
+	}
+	u.load = load
+	u.reportedAt = now
+	u.others = max(float64(load.Running+load.Queued-u.own), 0)
+}
+
+// Service returns the number of listed upstreams of a service.
+func (b *Balancer) Service(service string) int {
+	return len(b.byService[service])
+}
+
+// weights returns the version that an upstream holds by the newest word of it.
+func (u *upstream) weights(now time.Time) int64 {
+	if !u.reportedAt.IsZero() && now.Sub(u.reportedAt) < downLife {
+		return u.load.Weights
+	}
+	return u.Upstream.Weights
+}
+
+// occupied estimates the calls at the upstream.
+func (u *upstream) occupied(now time.Time) float64 {
+	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) > reportLife {
+		return float64(u.own)
+	}
+	return float64(u.own) + u.others
+}
+
+// takes reports whether the upstream may get the call at all.
+func (b *Balancer) takes(u *upstream, now time.Time, w Want) bool {
+	if u.IsDraining || w.Exclude[u.ID] {
+		return false
+	}
+	if w.IsModel && !b.hasWeights(u, now, w) {
+		return false
+	}
+	isReported := !u.reportedAt.IsZero() && now.Sub(u.reportedAt) < downLife
+	return !isReported || (!u.load.IsDown && !u.load.IsLoading)
+}
+
+func (b *Balancer) hasWeights(u *upstream, now time.Time, w Want) bool {
+	held := u.weights(now)
+	named := b.releases[w.Service]
+	if held == 0 || (w.Weights != 0 && held != w.Weights) {
+		return false
+	}
+	return held >= named.version || now.Before(named.mustAt)
+}
+
+// Pick returns the upstream with the most room. isKnown is false where no upstream of
+// the service could take the call even if it had room.
+func (b *Balancer) Pick(now time.Time, w Want) (chosen foxtailwharf.Upstream, isFound, isKnown bool) {
+	candidates := b.candidates(now, w)
+	if len(candidates) == 0 {
+		return chosen, false, false
+	}
+	var best *upstream
+	bestCost := 0.0
+	for _, u := range candidates {
+		occupied := u.occupied(now)
+		if !w.IsUnbounded && (occupied >= float64(u.Slots)+w.Room || u.notRunUntil.After(now)) {
+			continue
+		}
+		cost := occupied + b.c.Random.Float64()
+		if u.FailureDomain != b.c.FailureDomain {
+			cost += farCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = u, cost
+		}
+	}
+	if best == nil {
+		return chosen, false, true
+	}
+	return best.Upstream, true, true
+}
+
+// candidates returns the upstreams that may get the call. Those with many faults are
+// left out while enough others remain.
+func (b *Balancer) candidates(now time.Time, w Want) []*upstream {
+	var sound, ejected []*upstream
+	for _, u := range b.byService[w.Service] {
+		switch {
+		case !b.takes(u, now, w):
+		case u.ejectedUntil.After(now):
+			ejected = append(ejected, u)
+		default:
+			sound = append(sound, u)
+		}
+	}
+	if len(sound) == 0 || float64(len(ejected)) > maxEjectedPart*float64(len(ejected)+len(sound)) {
+		return append(sound, ejected...)
+	}
+	return sound
+}
+
+// Room returns the places that are free for calls of a kind, over all upstreams.
+func (b *Balancer) Room(now time.Time, w Want) (room float64) {
+	for _, u := range b.candidates(now, w) {
+		room += max(float64(u.Slots)+w.Room-u.occupied(now), 0)
+	}
+	return room
+}
+
+// Capacity returns the slots of all upstreams that may get such a call.
+func (b *Balancer) Capacity(now time.Time, w Want) (slots int) {
+	for _, u := range b.candidates(now, w) {
+		slots += u.Slots
+	}
+	return slots
+}
+
+// Sent notes that a call went to an upstream.
+func (b *Balancer) Sent(id string) {
+	if u := b.byID[id]; u != nil {
+		u.own++
+	}
+}
+
+// Result is how a call at an upstream ended.
+type Result int
+
+// The results.
+const (
+	Answered  Result = iota // whole, whatever the status
+	Failed                  // the upstream broke off, or answered with a fault of its own
+	NotRun                  // the upstream had no room
+	Moved                   // another upstream, or other weights, are at the address
+	Abandoned               // the caller left, or the call's time ended
+)
+
+// fullTime is how long an upstream that had no room is passed over.
+const fullTime = 30 * time.Millisecond
+
+// movedTime is how long an upstream that turned out to be another is passed over.
+const movedTime = 300 * time.Millisecond
+
+// Finished notes the end of a call.
+func (b *Balancer) Finished(now time.Time, id string, result Result) {
+	u := b.byID[id]
+	if u == nil {
+		return
+	}
+	u.own = max(u.own-1, 0)
+	switch result {
+	case Answered:
+		u.faults, u.ejections = 0, 0
+	case Failed:
+		u.fail(now)
+	case NotRun:
+		u.notRunUntil = now.Add(fullTime)
+	case Moved:
+		u.ejectedUntil = now.Add(movedTime)
+	case Abandoned:
+	}
+}
+
+func (u *upstream) fail(now time.Time) {
+	u.faults++
+	if u.faults < faultsToEject {
+		return
+	}
+	u.ejectedUntil = now.Add(min(ejectTime<<min(u.ejections, 4), maxEjectTime))
+	u.ejections++
+}
+
+// IsLost reports whether an upstream is known to have ended or to be unreachable: it is
+// no longer listed, has started anew since, or does not answer its agent.
+func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
+	u := b.byID[id]
+	if u == nil {
+		return false
+	}
+	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) > reportLife {
+		return false
+	}
+	return u.load.IsDown || (!u.load.Born.IsZero() && u.load.Born.After(born))
+}
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -18,6 +18,7 @@
 	Window      time.Duration // within which deaths count as one failure
 	MaxDead     int           // deaths of upstreams in Window from which on they are no evidence
 	MaxSuspects int           // suspects remembered at the most
+	DeathsToBar int           // upstreams that a request takes down before it is barred
 }
 
 // Defaults fills in the fields that were left out.
@@ -37,10 +38,14 @@
 	if c.MaxSuspects == 0 {
 		c.MaxSuspects = 10_000
 	}
+	if c.DeathsToBar == 0 {
+		c.DeathsToBar = defaultDeathsToBar
+	}
 }
 
-// deathsToBar is the number of upstreams a request takes down before it is barred.
-const deathsToBar = 2
+// defaultDeathsToBar is the number of upstreams that a request takes down before it is
+// barred, where the settings do not say.
+const defaultDeathsToBar = 2
 
 // Quarantiner is the ledger of suspects at one entry.
 type Quarantiner struct {
@@ -76,7 +81,7 @@
 		return
 	}
 	q.blame(now, upstream, digest)
-	if len(q.DiedOn(digest)) >= deathsToBar {
+	if len(q.DiedOn(digest)) >= q.c.DeathsToBar {
 		q.barred[digest] = now.Add(q.c.Time)
 	}
 }
@@ -135,7 +140,7 @@
 		return
 	}
 	delete(s.upstreams, upstream)
-	if len(s.upstreams) < deathsToBar {
+	if len(s.upstreams) < q.c.DeathsToBar {
 		delete(q.barred, digest)
 	}
 	if len(s.upstreams) == 0 {
@@ -214,7 +219,7 @@
 			q.blame(now.Add(-ban.Age), upstream, ban.Digest)
 		}
 	}
-	if len(ban.Upstreams) < deathsToBar && len(q.DiedOn(ban.Digest)) >= deathsToBar && q.barred[ban.Digest].IsZero() {
+	if len(ban.Upstreams) < q.c.DeathsToBar && len(q.DiedOn(ban.Digest)) >= q.c.DeathsToBar && q.barred[ban.Digest].IsZero() {
 		// Each entry saw one of the deaths.
 		q.barred[ban.Digest] = now.Add(q.c.Time)
 	}
--- a/internal/request/refuser/refuser.go
+++ b/internal/request/refuser/refuser.go
@@ -27,11 +27,38 @@
 
 // Write sends a refusal.
 func Write(w http.ResponseWriter, refusal *foxtailwharf.Refusal) {
-	status := refusal.Status()
-	w.Header().Set("Content-Type", "application/problem+json")
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
 	}
+	write(w, refusal.Status(), refusal)
+}
+
+// WriteDirect sends a refusal of a call that goes straight to an upstream. Of such a
+// call 503 says that it has not run, and a pause may have fractions of seconds.
+func WriteDirect(w http.ResponseWriter, refusal *foxtailwharf.Refusal) {
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	write(w, directStatus(refusal), refusal)
+}
+
+func directStatus(refusal *foxtailwharf.Refusal) int {
+	switch refusal.Reason {
+	case foxtailwharf.ReasonBadRequest, foxtailwharf.ReasonUnauthorized, foxtailwharf.ReasonNoRoute, foxtailwharf.ReasonBodyTooLarge:
+		return refusal.Status()
+	}
+	switch {
+	case refusal.IsNotRun:
+		return http.StatusServiceUnavailable
+	case refusal.Reason == foxtailwharf.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+func write(w http.ResponseWriter, status int, refusal *foxtailwharf.Refusal) {
+	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
 	// A caller that went away needs no refusal.
 	_ = json.NewEncoder(w).Encode(Problem{
--- /dev/null
+++ b/upstream.go
@@ -0,0 +1,30 @@
+package foxtailwharf
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Upstream is one instance behind a service, as the platform's list names it.
+type Upstream struct {
+	ID            string
+	Service       string
+	Address       netip.AddrPort
+	FailureDomain string
+	Slots         int // requests that run at a time
+	IsDraining    bool
+	// Born is the start of the upstream's process; the same ID may start again.
+	Born time.Time
+	// Weights is the version of the weights held whole; 0 for none.
+	Weights int64
+}
+
+// UpstreamLoad is what an agent tells of the upstream beside it.
+type UpstreamLoad struct {
+	Born      time.Time
+	Weights   int64 // version held whole; 0 for none
+	Running   int
+	Queued    int
+	IsLoading bool // takes nothing new until the weights are loaded
+	IsDown    bool // does not answer the agent
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -224,6 +224,104 @@
 	WantsDocuments bool `json:"WantsDocuments,omitempty,omitzero"`
 }
 
+// FleetAnswer is what an entry knows of the platform's store, with ages that only
+// grow on the way.
+type FleetAnswer struct {
+	// time since that configuration was surely the newest; negative for never
+	AgeMillis int64 `json:"AgeMillis"`
+
+	// what is held against requests that crash upstreams
+	Bans []Quarantine `json:"Bans,omitempty,omitzero"`
+
+	// the configuration as JSON, where the asking entry has an older one
+	Configuration string `json:"Configuration,omitempty,omitzero"`
+
+	// time since that list was surely the newest; negative for never
+	ListAgeMillis int64 `json:"ListAgeMillis,omitempty,omitzero"`
+
+	// the releases as JSON
+	Releases string `json:"Releases,omitempty,omitzero"`
+
+	// the list of upstreams as JSON
+	Upstreams string `json:"Upstreams,omitempty,omitzero"`
+
+	// of the newest configuration known; 0 for none
+	Version int64 `json:"Version"`
+}
+
+// FleetDomain lists the agents of one failure domain.
+type FleetDomain struct {
+	// IP addresses
+	Agents []string `json:"Agents"`
+
+	// Name corresponds to the JSON schema field "Name".
+	Name string `json:"Name"`
+}
+
+// FleetNotice is what an entry tells an agent of a fleet listed by the platform,
+// and asks for reports.
+type FleetNotice struct {
+	// time since the entry first heard of the release
+	AgeMillis int64 `json:"AgeMillis,omitempty,omitzero"`
+
+	// digest of the list of agents that the entry knows
+	Digest string `json:"Digest"`
+
+	// agents that share weights; left out where the agent has the list of this digest
+	Domains []FleetDomain `json:"Domains,omitempty,omitzero"`
+
+	// model that the upstream serves; empty where it has no weights
+	Model string `json:"Model,omitempty,omitzero"`
+
+	// address of the origin of weights
+	Origin string `json:"Origin,omitempty,omitzero"`
+
+	// version of the weights that the upstream should hold; 0 for none named
+	Release int64 `json:"Release,omitempty,omitzero"`
+
+	// name of the service of the agent's upstream
+	Service string `json:"Service,omitempty,omitzero"`
+}
+
+// FleetQuestion asks another entry what it knows of the platform's store.
+type FleetQuestion struct {
+	// what is held against requests that crash upstreams
+	Bans []Quarantine `json:"Bans,omitempty,omitzero"`
+
+	// of the configuration that the asking entry has; 0 for none
+	Version int64 `json:"Version"`
+}
+
+// FleetReport is what an agent tells entries of the upstream beside it.
+type FleetReport struct {
+	// Unix time of the start of the upstream's process
+	BornMillis int64 `json:"BornMillis,omitempty,omitzero"`
+
+	// digest of the list of agents that the agent knows
+	Digest string `json:"Digest,omitempty,omitzero"`
+
+	// addresses of the entries that the agent hears; left out in most reports
+	Entries []string `json:"Entries,omitempty,omitzero"`
+
+	// does not answer its agent
+	IsDown bool `json:"IsDown,omitempty,omitzero"`
+
+	// takes nothing new until the weights are loaded
+	IsLoading bool `json:"IsLoading,omitempty,omitzero"`
+
+	// Queued corresponds to the JSON schema field "Queued".
+	Queued int `json:"Queued,omitempty,omitzero"`
+
+	// Running corresponds to the JSON schema field "Running".
+	Running int `json:"Running,omitempty,omitzero"`
+
+	// address of the upstream
+	Upstream string `json:"Upstream"`
+
+	// version of the weights held whole; 0 for none
+	Weights int64 `json:"Weights,omitempty,omitzero"`
+}
+
 // Have tells a neighbour which chunks of a version the sender can upload.
 type Have struct {
 	// bitmap in base64, chunk 0 in the lowest bit of the first byte
