Entries take parts of free places; unnamed weights are version 1

Cause: eight entries each sent to the same free place, so that 14 calls queued at an engine of 16 slots; engines that were added empty got no weights before the first release. Ruled out: a slow swarm (all chunks are there 3.2 s after a naming).

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -12,6 +12,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
@@ -188,6 +189,7 @@
 	count := len(d.entries) + 1
 	d.mu.Unlock()
 	d.forwarder.SetExtra(d.repeatExtra(count))
+	d.assigner.Update(func(b *balancer.Balancer) { b.SetEntries(count) })
 }
 
 // otherEntries returns the addresses of the other entries.
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -240,14 +240,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range v.Releases {
-		if r.Version > d.named[r.Model].version {
-			d.named[r.Model] = named{version: r.Version, at: time.Now()}
-		}
+		d.noteRelease(r)
 	}
 	d.agents = nil
 	if v.Configuration == nil {
 		return
 	}
+	for _, s := range v.Configuration.Services {
+		if s.Engine != nil && v.HasReleases {
+			d.noteRelease(foxtailwharf.Release{Model: s.Engine.Model, Version: firstRelease})
+		}
+	}
 	for _, u := range v.Upstreams {
 		if v.Configuration.Services[u.Service].Engine != nil {
 			d.agents = append(d.agents, u)
@@ -255,6 +258,15 @@
 	}
 }
 
+// firstRelease is the version of a model that no release has named yet.
+const firstRelease = 1
+
+func (d *Distributor) noteRelease(r foxtailwharf.Release) {
+	if r.Version > d.named[r.Model].version {
+		d.named[r.Model] = named{version: r.Version, at: time.Now()}
+	}
+}
+
 // setReleases tells the balancer which weights may answer.
 func (d *Distributor) setReleases(b *balancer.Balancer, v follower.View) {
 	if v.Configuration == nil {
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -68,6 +68,7 @@
 	ListedAt     time.Duration
 	HasProof     bool
 	HasList      bool
+	HasReleases  bool // the releases have been read
 }
 
 // Follower keeps the view.
@@ -210,6 +211,7 @@
 		f.view.ListedAt, f.view.HasList = asked, true
 	case foxtailwharf.SubjectReleases:
 		f.takeReleases(p.Releases)
+		f.view.HasReleases = true
 	}
 	f.publish()
 }
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -1,10 +1,14 @@
 // Package balancer chooses the upstream for a call among those that the platform
 // lists. It answers the load of many entries that share few upstreams: each entry
 // knows its own calls exactly, and those of the others by the agents' reports, which
-// are about a tenth of a second old. It does no I/O and holds no clock.
+// are a few tenths of a second old. Of the places that a report shows free an entry
+// takes its part, drawn at random where the part is below one, and the places that its
+// own calls leave; so that not all entries send to the same free place. It does no I/O
+// and holds no clock.
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -25,8 +29,14 @@
 	ejectTime = 500 * time.Millisecond
 	// maxEjectTime bounds the doubling, so that an upstream which is back is tried soon.
 	maxEjectTime = 2 * time.Second
-	// farCost is what another failure domain counts, in calls in flight.
-	farCost = 0.9
+	// farCost is what another failure domain counts, in calls in flight: traffic between
+	// domains is scarce, and the reports from there are older.
+	farCost = 3
+	// partFactor makes the parts that entries take of free places add up to a little more
+	// than all, since not every entry has calls waiting.
+	partFactor = 1.4
+	// blindFactor is the same for the places of an upstream that has not reported lately.
+	blindFactor = 1.2
 	// maxEjectedPart is the part of a service's upstreams that may be left out at once:
 	// faults of more than that are not the upstreams' own.
 	maxEjectedPart = 0.5
@@ -60,6 +70,7 @@
 	byService map[string][]*upstream
 	byAddress map[netip.AddrPort]*upstream
 	releases  map[string]release // by service
+	entries   int                // that share the upstreams
 }
 
 // release is the newest version named for a service.
@@ -76,6 +87,8 @@
 	load         foxtailwharf.UpstreamLoad
 	reportedAt   time.Time // zero before the first report
 	others       float64   // calls of other entries at the report
+	sent         int       // own calls sent since the report, less those that ended
+	draw         float64   // random, new with each report
 	faults       int       // in a row
 	ejections    int
 	ejectedUntil time.Time
@@ -90,9 +103,15 @@
 		byService: make(map[string][]*upstream),
 		byAddress: make(map[netip.AddrPort]*upstream),
 		releases:  make(map[string]release),
+		entries:   1,
 	}
 }
 
+// SetEntries tells how many entries share the upstreams.
+func (b *Balancer) SetEntries(count int) {
+	b.entries = max(count, 1)
+}
+
 // SetRelease names the newest version of a service's weights, and from when on no other
 // may answer.
 func (b *Balancer) SetRelease(service string, version int64, mustAt time.Time) {
@@ -129,11 +148,8 @@
 	u.load = load
 	u.reportedAt = now
 	u.others = max(float64(load.Running+load.Queued-u.own), 0)
-}
-
-// Service returns the number of listed upstreams of a service.
-func (b *Balancer) Service(service string) int {
-	return len(b.byService[service])
+	u.sent = 0
+	u.draw = b.c.Random.Float64()
 }
 
 // weights returns the version that an upstream holds by the newest word of it.
@@ -152,6 +168,23 @@
 	return float64(u.own) + u.others
 }
 
+// hasRoom reports whether this entry may take one more place.
+func (b *Balancer) hasRoom(u *upstream, now time.Time, w Want) bool {
+	slots := float64(u.Slots) + w.Room
+	if u.notRunUntil.After(now) {
+		return false
+	}
+	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) > reportLife {
+		return float64(u.own) < math.Ceil(slots/float64(b.entries)*blindFactor)
+	}
+	free := slots - float64(u.load.Running+u.load.Queued)
+	if b.entries == 1 {
+		return free-float64(u.sent) >= 1
+	}
+	part := min(partFactor/float64(b.entries), 1)
+	return math.Floor(max(free, 0)*part+u.draw)-float64(u.sent) >= 1 && (free > 0 || u.sent < 0)
+}
+
 // takes reports whether the upstream may get the call at all.
 func (b *Balancer) takes(u *upstream, now time.Time, w Want) bool {
 	if u.IsDraining || w.Exclude[u.ID] {
@@ -184,7 +217,7 @@
 	bestCost := 0.0
 	for _, u := range candidates {
 		occupied := u.occupied(now)
-		if !w.IsUnbounded && (occupied >= float64(u.Slots)+w.Room || u.notRunUntil.After(now)) {
+		if !w.IsUnbounded && !b.hasRoom(u, now, w) {
 			continue
 		}
 		cost := occupied + b.c.Random.Float64()
@@ -220,26 +253,11 @@
 	return sound
 }
 
-// Room returns the places that are free for calls of a kind, over all upstreams.
-func (b *Balancer) Room(now time.Time, w Want) (room float64) {
-	for _, u := range b.candidates(now, w) {
-		room += max(float64(u.Slots)+w.Room-u.occupied(now), 0)
-	}
-	return room
-}
-
-// Capacity returns the slots of all upstreams that may get such a call.
-func (b *Balancer) Capacity(now time.Time, w Want) (slots int) {
-	for _, u := range b.candidates(now, w) {
-		slots += u.Slots
-	}
-	return slots
-}
-
 // Sent notes that a call went to an upstream.
 func (b *Balancer) Sent(id string) {
 	if u := b.byID[id]; u != nil {
 		u.own++
+		u.sent++
 	}
 }
 
@@ -268,6 +286,7 @@
 		return
 	}
 	u.own = max(u.own-1, 0)
+	u.sent--
 	switch result {
 	case Answered:
 		u.faults, u.ejections = 0, 0
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -150,12 +150,20 @@
 // plainRoom is how many calls may queue at an upstream of a plain service.
 const plainRoom = 6
 
-// modelRoom returns how many calls of a priority may queue at an engine: a few of the
-// urgent ones, so that no place is idle between two reports, and none of the others.
+// modelRoom returns how many calls of a priority may be at an engine beyond its slots. A
+// few of the most urgent may queue there, so that no place is idle between two reports;
+// the others leave some places free for them.
 func modelRoom(priority int) float64 {
-	return max(2-float64(priority), 0)
+	return max(urgentRoom-float64(priority)*roomStep, -maxKept)
 }
 
+// Places at an engine by priority.
+const (
+	urgentRoom = 1.5
+	roomStep   = 1.5
+	maxKept    = 2
+)
+
 // finish gives the caller the last word after attempts that did not deliver.
 func (x *exchange) finish(ctx context.Context, refusal *foxtailwharf.Refusal) {
 	switch {
