Releases are due one by one; store calls that may hang are asked again; fewer bytes

Ruled out: a slow store (other calls of the same entry were answered). Each release now has its due time, told on by agents to entries that have just started; a subject that finds the store back makes the others ask again, and a watch of the list lasts 2.2 s. Also: reports to other failure domains are sent three times a second, the origin's region draws all chunks, agents ask seeds at the start, engines load one after the other.

--- a/configuration.go
+++ b/configuration.go
@@ -68,6 +68,7 @@
 	MaxConnections int
 	Engine         *EngineModel // nil for plain services
 	Origin         netip.AddrPort
+	OriginDomain   string // failure domain of the origin
 }
 
 // EngineModel describes how the engines of a service work.
--- a/fleetsettings.go
+++ b/fleetsettings.go
@@ -41,6 +41,13 @@
 	Ready   netip.AddrPort `yaml:"Ready,omitempty"`
 	// Upstream is the engine on the own machine; agents only.
 	Upstream netip.AddrPort `yaml:"Upstream,omitempty"`
+	// Service is the engine's; agents only. Seeds are entries that agents ask at the
+	// start; they may be gone.
+	Service string           `yaml:"Service,omitempty"`
+	Seeds   []netip.AddrPort `yaml:"Seeds,omitempty"`
+	// IsFirstStart says that the whole system starts for the first time, so that weights
+	// may lie beside engines that do not answer yet.
+	IsFirstStart bool `yaml:"IsFirstStart,omitempty"`
 	// LinkMegabits is the rate of the machine's link, in Mbit/s.
 	LinkMegabits float64       `yaml:"LinkMegabits"`
 	Drain        time.Duration `yaml:"Drain"` // limit of a graceful stop
--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -20,11 +19,11 @@
 const (
 	// noticeInterval is the time between two notices to an agent, which also ask it to
 	// go on reporting.
-	noticeInterval = 500 * time.Millisecond
+	noticeInterval = time.Second
 	// urgentInterval is the same while a release has just been named.
 	urgentInterval = 150 * time.Millisecond
 	// urgentTime is how long a release counts as just named.
-	urgentTime = time.Second
+	urgentTime = 500 * time.Millisecond
 	// entryLife is how long another entry counts after an agent last named it.
 	entryLife = 10 * time.Second
 )
@@ -38,8 +37,13 @@
 func (c *caller) run(ctx context.Context) {
 	defer close(c.done)
 	for {
-		interval := c.d.notify()
-		if !pauser.Sleep(ctx, interval) {
+		timer := time.NewTimer(c.d.notify())
+		select {
+		case <-timer.C:
+		case <-c.d.news:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
 			return
 		}
 	}
@@ -84,16 +88,16 @@
 // notice describes a service to its agents.
 func (d *Distributor) notice(c *foxtailwharf.Configuration, service string) wire.FleetNotice {
 	model := c.Services[service].Engine.Model
-	notice := wire.FleetNotice{Service: service, Model: model}
+	notice := wire.FleetNotice{Service: service, Model: model, Domain: d.c.Settings.FailureDomain}
 	for _, s := range c.Services {
 		if s.Origin.IsValid() {
 			notice.Origin = s.Origin.String()
+			notice.OriginDomain = s.OriginDomain
 		}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if r, isNamed := d.named[model]; isNamed {
+	if r, isNamed := d.newest(model); isNamed {
 		notice.Release = r.version
+		notice.IsGuess = r.isGuess
 		notice.AgeMillis = time.Since(r.at).Milliseconds()
 	}
 	return notice
@@ -128,7 +132,7 @@
 // sendNotice sends the list along only where the agent has another one. Entries of the
 // agent's own failure domain do so, and the others while the agent has none.
 func (d *Distributor) sendNotice(u foxtailwharf.Upstream, notice wire.FleetNotice, domains []wire.FleetDomain) {
-	known := d.agentDigest(u.Address)
+	known := d.agentDigest(u.Address.Addr())
 	isNear := u.FailureDomain == d.c.Settings.FailureDomain
 	if known != notice.Digest && (isNear || known == "") {
 		notice.Domains = domains
@@ -136,7 +140,7 @@
 	d.notifier.Send(d.c.Settings.Peers(u.Address.Addr()), notice)
 }
 
-func (d *Distributor) agentDigest(address netip.AddrPort) string {
+func (d *Distributor) agentDigest(address netip.Addr) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.digests[address]
@@ -149,12 +153,7 @@
 		d.c.Log.Debug("entry: A report cannot be read.", zap.Stringer("From", from), zap.Error(err))
 		return
 	}
-	address, err := netip.ParseAddrPort(report.Upstream)
-	if err != nil || address.Addr() != from.Addr() {
-		d.c.Log.Debug("entry: A report is about another machine.", zap.Stringer("From", from), zap.String("Upstream", report.Upstream))
-		return
-	}
-	d.assigner.Report(address, foxtailwharf.UpstreamLoad{
+	d.assigner.Report(from.Addr(), foxtailwharf.UpstreamLoad{
 		Born:      time.UnixMilli(report.BornMillis),
 		Weights:   report.Weights,
 		Running:   report.Running,
@@ -163,9 +162,28 @@
 		IsDown:    report.IsDown,
 	})
 	d.mu.Lock()
-	d.digests[address] = report.Digest
+	d.digests[from.Addr()] = report.Digest
 	d.mu.Unlock()
+	d.greet(from, report)
 	d.hearEntries(report.Entries)
+	if report.Release > 0 {
+		d.hearAge(report.Model, report.Release, time.Duration(report.ReleaseAgeMillis)*time.Millisecond)
+	}
+}
+
+// greet answers an agent that has just started, before the store lists its upstream.
+func (d *Distributor) greet(to netip.AddrPort, report wire.FleetReport) {
+	c := d.follower.View().Configuration
+	if report.Service == "" || report.Digest != "" || c == nil || c.Services[report.Service].Engine == nil {
+		return
+	}
+	d.mu.Lock()
+	agents := d.agents
+	d.mu.Unlock()
+	notice := d.notice(c, report.Service)
+	notice.Domains = domainsOf(byService(agents)[report.Service])
+	notice.Digest = digestOf(notice.Domains)
+	d.notifier.Send(to, notice)
 }
 
 // hearEntries notes the entries that an agent hears.
@@ -189,7 +207,11 @@
 	count := len(d.entries) + 1
 	d.mu.Unlock()
 	d.forwarder.SetExtra(d.repeatExtra(count))
-	d.assigner.Update(func(b *balancer.Balancer) { b.SetEntries(count) })
+	v := d.follower.View()
+	d.assigner.Update(func(b *balancer.Balancer) {
+		b.SetEntries(count)
+		d.setReleases(b, v.Configuration)
+	})
 }
 
 // otherEntries returns the addresses of the other entries.
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -76,18 +76,15 @@
 	duties    []duty
 	cancel    context.CancelFunc
 	isLeaving atomic.Bool
+	news      chan struct{} // holds one: agents should be told soon
 
-	mu      sync.Mutex
-	named   map[string]named // by model
-	agents  []foxtailwharf.Upstream
-	digests map[netip.AddrPort]string // of the list that each agent has
-	entries map[netip.AddrPort]time.Time
-}
-
-// named is a release with the moment at which the entry first heard of it.
-type named struct {
-	version int64
-	at      time.Time
+	mu    sync.Mutex
+	named map[string][]named // by model, the newest last
+	// hasReleases says that the store's releases were read once.
+	hasReleases bool
+	agents      []foxtailwharf.Upstream
+	digests     map[netip.Addr]string // of the list that each agent has
+	entries     map[netip.AddrPort]time.Time
 }
 
 // duty is a part of the entry that runs beside the others.
@@ -118,8 +115,9 @@
 		recorder: recorder.New(),
 		messages: messenger.NewServer(),
 		client:   messenger.NewClient(c.Network),
-		named:    make(map[string]named),
-		digests:  make(map[netip.AddrPort]string),
+		named:    make(map[string][]named),
+		digests:  make(map[netip.Addr]string),
+		news:     make(chan struct{}, 1),
 		entries:  make(map[netip.AddrPort]time.Time),
 	}
 	d.assigner = assigner.New(balancer.New(balancer.Config{FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer")}))
@@ -226,64 +224,14 @@
 
 // changed puts a new view of the store in force.
 func (d *Distributor) changed(v follower.View) {
-	d.noteReleases(v)
+	d.note(v)
 	d.forwarder.SetView(v)
 	d.assigner.Update(func(b *balancer.Balancer) {
 		b.Set(v.Upstreams)
-		d.setReleases(b, v)
+		d.setReleases(b, v.Configuration)
 	})
 }
 
-// noteReleases keeps the moment at which each release was first heard of, and the list
-// of agents.
-func (d *Distributor) noteReleases(v follower.View) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, r := range v.Releases {
-		d.noteRelease(r)
-	}
-	d.agents = nil
-	if v.Configuration == nil {
-		return
-	}
-	for _, s := range v.Configuration.Services {
-		if s.Engine != nil && v.HasReleases {
-			d.noteRelease(foxtailwharf.Release{Model: s.Engine.Model, Version: firstRelease})
-		}
-	}
-	for _, u := range v.Upstreams {
-		if v.Configuration.Services[u.Service].Engine != nil {
-			d.agents = append(d.agents, u)
-		}
-	}
-}
-
-// firstRelease is the version of a model that no release has named yet.
-const firstRelease = 1
-
-func (d *Distributor) noteRelease(r foxtailwharf.Release) {
-	if r.Version > d.named[r.Model].version {
-		d.named[r.Model] = named{version: r.Version, at: time.Now()}
-	}
-}
-
-// setReleases tells the balancer which weights may answer.
-func (d *Distributor) setReleases(b *balancer.Balancer, v follower.View) {
-	if v.Configuration == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for name, s := range v.Configuration.Services {
-		if s.Engine == nil {
-			continue
-		}
-		if r, isNamed := d.named[s.Engine.Model]; isNamed {
-			b.SetRelease(name, r.version, r.at.Add(d.c.Settings.Switch-switchMargin))
-		}
-	}
-}
-
 // tidier closes idle connections to upstreams that are gone.
 type tidier struct {
 	d    *Distributor
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -24,8 +24,11 @@
 	// that the view is fresh, so it is a part of the time within which keys that were
 	// taken away must stop working.
 	configurationWait = 1500 * time.Millisecond
-	// listWait is the wait for other changes.
-	listWait = 4 * time.Second
+	// listWait is the wait for changes of the list: with the time for an answer it stays
+	// under the time for which a connection that went silent may hide a leaving upstream.
+	listWait = 2200 * time.Millisecond
+	// releaseWait is the wait for releases.
+	releaseWait = 4 * time.Second
 	// listPause is the pause between two changes of the list, so that many changes at
 	// once cost one call.
 	listPause = 700 * time.Millisecond
@@ -79,9 +82,10 @@
 	mu        sync.Mutex
 	view      View
 	upstreams map[string]foxtailwharf.Upstream
-	releases  map[string]foxtailwharf.Release // by model
-	lingering map[string]time.Duration        // until when, by ID, entries count that lapsed in an outage
-	returned  time.Duration                   // end of the last outage, by the clock; 0 for none
+	releases  map[string]foxtailwharf.Release                  // by model
+	lingering map[string]time.Duration                         // until when, by ID, entries count that lapsed in an outage
+	returned  time.Duration                                    // end of the last outage, by the clock; 0 for none
+	calls     map[foxtailwharf.FleetSubject]context.CancelFunc // in progress
 }
 
 // New returns a follower that knows nothing.
@@ -91,6 +95,7 @@
 		upstreams: make(map[string]foxtailwharf.Upstream),
 		releases:  make(map[string]foxtailwharf.Release),
 		lingering: make(map[string]time.Duration),
+		calls:     make(map[foxtailwharf.FleetSubject]context.CancelFunc),
 	}
 }
 
@@ -99,7 +104,7 @@
 	subjects := []subject{
 		{name: foxtailwharf.SubjectConfiguration, wait: configurationWait, pause: configurationPause},
 		{name: foxtailwharf.SubjectUpstreams, wait: listWait, pause: listPause},
-		{name: foxtailwharf.SubjectReleases, wait: listWait, pause: releasePause},
+		{name: foxtailwharf.SubjectReleases, wait: releaseWait, pause: releasePause},
 	}
 	for _, s := range subjects {
 		s.f = f
@@ -150,18 +155,16 @@
 func (s *subject) step(ctx context.Context) error {
 	asked := s.f.c.Clock()
 	isWhole := s.revision == 0
-	var p foxtailwharf.FleetPage
-	var err error
-	if isWhole {
-		p, err = s.f.c.Store.Read(ctx, s.name)
-	} else {
-		p, err = s.f.c.Store.Follow(ctx, s.name, s.revision, s.wait)
-	}
+	p, err := s.call(ctx, isWhole)
 	if errors.Is(err, foxtailwharf.ErrHistoryGone) {
 		s.f.c.Log.Info("store: The history is gone; everything is read anew.", zap.String("Subject", string(s.name)))
 		s.revision = 0
 		return nil
 	}
+	if errors.Is(err, context.Canceled) && ctx.Err() == nil {
+		// Another subject found the store back in reach; this one asks again at once.
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -175,6 +178,20 @@
 	return nil
 }
 
+// call makes one call, which ends early if another subject finds the store back in reach:
+// the connection may have gone silent in the outage.
+func (s *subject) call(ctx context.Context, isWhole bool) (foxtailwharf.FleetPage, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.f.mu.Lock()
+	s.f.calls[s.name] = cancel
+	s.f.mu.Unlock()
+	if isWhole {
+		return s.f.c.Store.Read(ctx, s.name)
+	}
+	return s.f.c.Store.Follow(ctx, s.name, s.revision, s.wait)
+}
+
 // failed notes a call that got no answer. A watch that was cut may have missed nothing,
 // so that the revision stays.
 func (s *subject) failed(err error) {
@@ -189,16 +206,26 @@
 	now := s.f.c.Clock()
 	if s.isLost {
 		s.f.c.Log.Info("store: It is back in reach.", zap.String("Subject", string(s.name)), zap.Duration("After", now-s.heard))
-		if now-s.heard > outage {
-			s.f.mu.Lock()
-			s.f.returned = now
-			s.f.mu.Unlock()
-		}
+		s.f.back(s.name, now, now-s.heard > outage)
 	}
 	s.isLost = false
 	s.heard = now
 }
 
+// back notes that the store answers again, and ends the calls of other subjects.
+func (f *Follower) back(name foxtailwharf.FleetSubject, now time.Duration, isOutage bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if isOutage {
+		f.returned = now
+	}
+	for other, cancel := range f.calls {
+		if other != name {
+			cancel()
+		}
+	}
+}
+
 // take works a page into the view.
 func (f *Follower) take(subject foxtailwharf.FleetSubject, p foxtailwharf.FleetPage, isWhole bool, asked time.Duration) {
 	f.mu.Lock()
--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -22,9 +22,11 @@
 const (
 	// stepInterval is the time between two looks at what is next.
 	stepInterval = 50 * time.Millisecond
-	// turnTime is the age of a release from which on the second group loads: the first
-	// has its chunks after about three seconds and loads within two.
-	turnTime = 4800 * time.Millisecond
+	// firstTurn and lastTurn are the parts of the time for the switch at which the first
+	// and the last engine of a failure domain load: the chunks take a part of it, and in
+	// the rest an engine finishes what it runs.
+	firstTurn = 0.35
+	lastTurn  = 0.85
 	// loadTime is how long a load may take before it is ordered again.
 	loadTime = 6 * time.Second
 	// manifestPeers is the number of agents asked where the origin gives no manifest.
@@ -64,13 +66,14 @@
 	i.p.mu.Lock()
 	n, load := i.p.notice, i.p.load
 	i.p.mu.Unlock()
-	if n.release.Version == 0 || load.IsDown || load.Born.IsZero() {
+	if n.release.Version == 0 {
 		return nil
 	}
 	if n.release != i.release {
 		*i = install{p: i.p, done: i.done, release: n.release, orderedAt: i.orderedAt}
 	}
-	if !load.Born.Equal(i.born) {
+	isUp := !load.IsDown && !load.Born.IsZero()
+	if isUp && !load.Born.Equal(i.born) {
 		i.born, i.orderedAt, i.checked = load.Born, time.Time{}, time.Time{}
 		i.setLoading(false)
 	}
@@ -82,6 +85,15 @@
 			return err
 		}
 	}
+	if !i.isSearch && !isUp && !i.p.c.Settings.IsFirstStart {
+		// The chunks are fetched while the engine starts; what lies beside it is looked
+		// through once it answers.
+		i.p.fetcher.Want(i.digest)
+		return nil
+	}
+	if !isUp {
+		return nil
+	}
 	return i.act(ctx, n, load)
 }
 
@@ -115,7 +127,6 @@
 		IsWhole:  total > 0 && held == total,
 		IsStaged: time.Since(i.checked) < freshTime,
 		Turn:     i.turn(),
-		TurnTime: turnTime,
 	}
 	switch installer.Next(facts) {
 	case installer.StepStage:
@@ -127,10 +138,13 @@
 	}
 }
 
-func (i *install) turn() int {
+// turn returns the age of the release from which on this engine loads.
+func (i *install) turn() time.Duration {
+	limit := float64(i.p.c.Settings.Switch)
 	i.p.mu.Lock()
 	defer i.p.mu.Unlock()
-	return installer.Turn(i.p.c.Settings.Address.String(), i.p.domain, strconv.FormatInt(i.release.Version, 10))
+	version := strconv.FormatInt(i.release.Version, 10)
+	return installer.Turn(i.p.c.Settings.Address.String(), i.p.domain, version, time.Duration(limit*firstTurn), time.Duration(limit*lastTurn))
 }
 
 // setLoading tells the entries at once whether the engine takes calls.
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -82,20 +82,28 @@
 	installer *install
 	cancel    context.CancelFunc
 
-	mu      sync.Mutex
-	notice  notice
-	agents  []foxtailwharf.Instance
-	digest  string                       // of the list of agents
-	domain  []string                     // machines of the own failure domain
-	entries map[netip.AddrPort]time.Time // when each last sent a notice
-	load    foxtailwharf.UpstreamLoad
-	digests map[foxtailwharf.Release]string // of manifests
+	mu           sync.Mutex
+	notice       notice
+	agents       []foxtailwharf.Instance
+	digest       string   // of the list of agents
+	domain       []string // machines of the own failure domain
+	entries      map[netip.AddrPort]entry
+	originRegion string
+	load         foxtailwharf.UpstreamLoad
+	digests      map[foxtailwharf.Release]string // of manifests
+}
+
+// entry is an entry that has sent a notice.
+type entry struct {
+	heard  time.Time
+	domain string // failure domain
 }
 
 // notice is what the entries have told.
 type notice struct {
 	release foxtailwharf.Release
 	named   time.Time // when the release was first heard of anywhere
+	isGuess bool      // that moment is not known
 }
 
 // New builds an agent that has not started.
@@ -108,26 +116,27 @@
 		http:     sourcer.Client(c.Network),
 		recorder: recorder.New(),
 		served:   make(chan struct{}),
-		entries:  make(map[netip.AddrPort]time.Time),
+		entries:  make(map[netip.AddrPort]entry),
 		digests:  make(map[foxtailwharf.Release]string),
 	}
 	rate := int64(c.Settings.LinkMegabits * 1e6 / bitsPerByte * uploadPart)
 	p.uploader = uploader.New(uploader.Config{Holder: p.holder, Uploads: uploads, Rate: rate})
 	p.fetcher = fetcher.New(fetcher.Config{
-		Self:       p.self,
-		Holders:    p.holders,
-		Holder:     p.holder,
-		Client:     p.client,
-		HTTP:       p.http,
-		Origin:     c.Origin,
-		Policy:     foxtailwharf.FetchSwarm,
-		Neighbours: neighbours,
-		Patience:   patience,
-		Wait:       sponsorWait,
-		Stall:      stall,
-		IsPressed:  func() bool { return false },
-		Random:     rand.New(rand.NewPCG(c.Seed, foxtailwharf.Score(c.Settings.Name, "fetcher"))),
-		Log:        c.Log,
+		Self:         p.self,
+		Holders:      p.holders,
+		Holder:       p.holder,
+		Client:       p.client,
+		HTTP:         p.http,
+		Origin:       c.Origin,
+		Policy:       foxtailwharf.FetchSwarm,
+		OriginRegion: p.region,
+		Neighbours:   neighbours,
+		Patience:     patience,
+		Wait:         sponsorWait,
+		Stall:        stall,
+		IsPressed:    func() bool { return false },
+		Random:       rand.New(rand.NewPCG(c.Seed, foxtailwharf.Score(c.Settings.Name, "fetcher"))),
+		Log:          c.Log,
 	})
 	p.reporter = &reporter{p: p, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	p.installer = &install{p: p, done: make(chan struct{})}
@@ -157,6 +166,13 @@
 	return p.agents
 }
 
+// region returns the origin's region.
+func (p *Provisioner) region() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.originRegion
+}
+
 // Start listens and begins all duties. They end with Stop, or at once with the context.
 func (p *Provisioner) Start(ctx context.Context) error {
 	s := p.c.Settings
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -19,8 +19,13 @@
 	lookInterval = 100 * time.Millisecond
 	// lookTime is how long the engine may take to say its state before it counts as down.
 	lookTime = 400 * time.Millisecond
-	// reportInterval is the longest time between two reports.
+	// reportInterval is the longest time between two reports to entries of the own failure
+	// domain, and the time between two to others, which send here only what does not fit
+	// elsewhere.
 	reportInterval = 300 * time.Millisecond
+	// seedInterval is the time between two questions to the seeds while no entry has sent a
+	// notice.
+	seedInterval = 200 * time.Millisecond
 	// entriesInterval is the time between two reports that name the entries.
 	entriesInterval = 2 * time.Second
 	// entryLife is how long an entry gets reports after its last notice.
@@ -35,7 +40,8 @@
 	state    foxtailwharf.EngineState
 	isDown   bool
 	sent     wire.FleetReport
-	sentAt   time.Time
+	sentAt   time.Time // to entries of the own failure domain
+	farAt    time.Time // to all
 	listedAt time.Time
 }
 
@@ -80,36 +86,61 @@
 // or the last one is old.
 func (r *reporter) tell() {
 	now := time.Now()
-	report, entries := r.report(now)
-	isNew := !slices.Equal(report.Entries, r.sent.Entries) || !isSame(report, r.sent)
-	if !isNew && now.Sub(r.sentAt) < reportInterval {
+	report, near, far := r.report(now)
+	if len(near)+len(far) == 0 {
+		r.askSeeds(now, report)
+		return
+	}
+	isFar := now.Sub(r.farAt) >= reportInterval || isUrgent(report, r.sent)
+	if !isFar && isSame(report, r.sent) && now.Sub(r.sentAt) < reportInterval {
 		return
 	}
 	r.sent, r.sentAt = report, now
-	if now.Sub(r.listedAt) < entriesInterval {
-		report.Entries = nil
+	if now.Sub(r.listedAt) < entriesInterval || !isFar {
+		report.Entries, report.Model, report.Release, report.ReleaseAgeMillis = nil, "", 0, 0
 	} else {
 		r.listedAt = now
 	}
-	for _, to := range entries {
+	for _, to := range near {
+		r.p.notifier.Send(to, report)
+	}
+	if !isFar {
+		return
+	}
+	r.farAt = now
+	for _, to := range far {
 		r.p.notifier.Send(to, report)
 	}
 }
 
+// askSeeds makes itself known to entries by which the others are found.
+func (r *reporter) askSeeds(now time.Time, report wire.FleetReport) {
+	if now.Sub(r.sentAt) < seedInterval {
+		return
+	}
+	r.sentAt = now
+	report.Service = r.p.c.Settings.Service
+	for _, seed := range r.p.c.Settings.Seeds {
+		r.p.notifier.Send(r.p.c.Settings.Peers(seed.Addr()), report)
+	}
+}
+
+// isUrgent reports whether an engine takes calls now and did not, or the reverse.
+func isUrgent(a, b wire.FleetReport) bool {
+	return a.IsLoading != b.IsLoading || a.IsDown != b.IsDown || a.Weights != b.Weights || a.BornMillis != b.BornMillis
+}
+
 // isSame reports whether two reports say the same of the engine.
 func isSame(a, b wire.FleetReport) bool {
-	a.Entries, b.Entries = nil, nil
-	return a.BornMillis == b.BornMillis && a.Weights == b.Weights && a.Running == b.Running && a.Queued == b.Queued &&
-		a.IsLoading == b.IsLoading && a.IsDown == b.IsDown && a.Digest == b.Digest
+	return !isUrgent(a, b) && a.Running == b.Running && a.Queued == b.Queued && a.Digest == b.Digest
 }
 
 // report writes the report and returns the entries to send it to.
-func (r *reporter) report(now time.Time) (wire.FleetReport, []netip.AddrPort) {
+func (r *reporter) report(now time.Time) (report wire.FleetReport, near, far []netip.AddrPort) {
 	p := r.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	report := wire.FleetReport{
-		Upstream:   p.c.Settings.Upstream.String(),
+	report = wire.FleetReport{
 		BornMillis: p.load.Born.UnixMilli(),
 		Weights:    p.load.Weights,
 		Running:    p.load.Running,
@@ -118,17 +149,24 @@
 		IsDown:     p.load.IsDown,
 		Digest:     p.digest,
 	}
-	var entries []netip.AddrPort
-	for address, heard := range p.entries {
-		if now.Sub(heard) > entryLife {
+	if n := p.notice; n.release.Version > 0 && !n.isGuess {
+		report.Model, report.Release = n.release.Model, n.release.Version
+		report.ReleaseAgeMillis = now.Sub(n.named).Milliseconds()
+	}
+	for address, e := range p.entries {
+		if now.Sub(e.heard) > entryLife {
 			delete(p.entries, address)
 			continue
 		}
-		entries = append(entries, address)
+		if e.domain == p.c.Settings.FailureDomain {
+			near = append(near, address)
+		} else {
+			far = append(far, address)
+		}
 		report.Entries = append(report.Entries, address.String())
 	}
 	slices.Sort(report.Entries)
-	return report, entries
+	return report, near, far
 }
 
 // hearNotice takes in an entry's notice.
@@ -141,9 +179,10 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.entries[from] = now
+	p.entries[from] = entry{heard: now, domain: n.Domain}
 	if origin, err := netip.ParseAddrPort(n.Origin); err == nil {
 		p.c.Origin.SetAddress(origin)
+		p.originRegion = p.c.Settings.Regions[n.OriginDomain]
 	}
 	p.hearRelease(n, now)
 	if len(n.Domains) > 0 && n.Digest != p.digest {
@@ -159,12 +198,12 @@
 	named := now.Add(-time.Duration(n.AgeMillis) * time.Millisecond)
 	release := foxtailwharf.Release{Model: n.Model, Version: n.Release}
 	if release == p.notice.release {
-		if named.Before(p.notice.named) {
-			p.notice.named = named
+		if !n.IsGuess && (p.notice.isGuess || named.Before(p.notice.named)) {
+			p.notice.named, p.notice.isGuess = named, false
 		}
 		return
 	}
-	p.notice = notice{release: release, named: named}
+	p.notice = notice{release: release, named: named, isGuess: n.IsGuess}
 	p.c.Log.Info("agent: A release is wanted.", zap.String("Model", n.Model), zap.Int64("Version", n.Release))
 }
 
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -52,8 +52,8 @@
 }
 
 // Report takes in what an agent tells.
-func (a *Assigner) Report(address netip.AddrPort, load foxtailwharf.UpstreamLoad) {
-	a.Update(func(b *balancer.Balancer) { b.Report(time.Now(), address, load) })
+func (a *Assigner) Report(machine netip.Addr, load foxtailwharf.UpstreamLoad) {
+	a.Update(func(b *balancer.Balancer) { b.Report(time.Now(), machine, load) })
 }
 
 // Finished notes the end of a call at an upstream.
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -8,9 +8,11 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -68,12 +70,12 @@
 	c         Config
 	byID      map[string]*upstream
 	byService map[string][]*upstream
-	byAddress map[netip.AddrPort]*upstream
-	releases  map[string]release // by service
-	entries   int                // that share the upstreams
+	byMachine map[netip.Addr]*upstream
+	releases  map[string][]release // by service, the newest last
+	entries   int                  // that share the upstreams
 }
 
-// release is the newest version named for a service.
+// release is a version that was named for a service.
 type release struct {
 	version int64
 	// mustAt is when older versions stop getting calls.
@@ -101,8 +103,8 @@
 		c:         c,
 		byID:      make(map[string]*upstream),
 		byService: make(map[string][]*upstream),
-		byAddress: make(map[netip.AddrPort]*upstream),
-		releases:  make(map[string]release),
+		byMachine: make(map[netip.Addr]*upstream),
+		releases:  make(map[string][]release),
 		entries:   1,
 	}
 }
@@ -112,12 +114,33 @@
 	b.entries = max(count, 1)
 }
 
-// SetRelease names the newest version of a service's weights, and from when on no other
-// may answer.
+// maxReleases is the number of releases of a service that are remembered: versions named
+// in quick succession are each due by a time of their own.
+const maxReleases = 4
+
+// SetRelease names a version of a service's weights, and from when on no older one may
+// answer. Naming it again changes the time.
 func (b *Balancer) SetRelease(service string, version int64, mustAt time.Time) {
-	if version > b.releases[service].version {
-		b.releases[service] = release{version: version, mustAt: mustAt}
+	list := b.releases[service]
+	for i := range list {
+		if list[i].version == version {
+			list[i].mustAt = mustAt
+			return
+		}
+	}
+	list = append(list, release{version: version, mustAt: mustAt})
+	slices.SortFunc(list, func(a, b release) int { return cmp.Compare(a.version, b.version) })
+	b.releases[service] = list[max(len(list)-maxReleases, 0):]
+}
+
+// oldest returns the oldest version of a service's weights that may answer.
+func (b *Balancer) oldest(now time.Time, service string) (version int64) {
+	for _, r := range b.releases[service] {
+		if !now.Before(r.mustAt) {
+			version = r.version
+		}
 	}
+	return version
 }
 
 // Set replaces the list. What is known of upstreams that stay is kept; a new start of
@@ -125,7 +148,7 @@
 func (b *Balancer) Set(list []foxtailwharf.Upstream) {
 	byID := make(map[string]*upstream, len(list))
 	b.byService = make(map[string][]*upstream)
-	b.byAddress = make(map[netip.AddrPort]*upstream, len(list))
+	b.byMachine = make(map[netip.Addr]*upstream, len(list))
 	for _, listed := range list {
 		u := b.byID[listed.ID]
 		if u == nil || !u.Born.Equal(listed.Born) || u.Address != listed.Address {
@@ -134,14 +157,14 @@
 		u.Upstream = listed
 		byID[listed.ID] = u
 		b.byService[listed.Service] = append(b.byService[listed.Service], u)
-		b.byAddress[listed.Address] = u
+		b.byMachine[listed.Address.Addr()] = u
 	}
 	b.byID = byID
 }
 
-// Report takes in what an agent tells of the upstream at an address.
-func (b *Balancer) Report(now time.Time, address netip.AddrPort, load foxtailwharf.UpstreamLoad) {
-	u := b.byAddress[address]
+// Report takes in what an agent tells of the upstream on its machine.
+func (b *Balancer) Report(now time.Time, machine netip.Addr, load foxtailwharf.UpstreamLoad) {
+	u := b.byMachine[machine]
 	if u == nil {
 		return
 	}
@@ -199,11 +222,10 @@
 
 func (b *Balancer) hasWeights(u *upstream, now time.Time, w Want) bool {
 	held := u.weights(now)
-	named := b.releases[w.Service]
 	if held == 0 || (w.Weights != 0 && held != w.Weights) {
 		return false
 	}
-	return held >= named.version || now.Before(named.mustAt)
+	return held >= b.oldest(now, w.Service)
 }
 
 // Pick returns the upstream with the most room. isKnown is false where no upstream of
--- a/internal/version/fetcher/fetcher.go
+++ b/internal/version/fetcher/fetcher.go
@@ -48,19 +48,21 @@
 type Config struct {
 	Self func() foxtailwharf.Instance
 	// Holders returns the agents that should have the version.
-	Holders    func() []foxtailwharf.Instance
-	Holder     *holder.Holder
-	Client     *messenger.Client
-	HTTP       *http.Client
-	Origin     foxtailwharf.Origin
-	Policy     foxtailwharf.FetchPolicy
-	Neighbours int
-	Patience   time.Duration // time without progress after which the next sponsor takes over
-	Wait       time.Duration // time for which a sponsor is asked to hold a request
-	Stall      time.Duration // time without a byte after which a download is given up
-	IsPressed  func() bool
-	Random     *rand.Rand
-	Log        *zap.Logger
+	Holders func() []foxtailwharf.Instance
+	Holder  *holder.Holder
+	Client  *messenger.Client
+	HTTP    *http.Client
+	Origin  foxtailwharf.Origin
+	Policy  foxtailwharf.FetchPolicy
+	// OriginRegion returns where the origin stands; nil where it is not known.
+	OriginRegion func() string
+	Neighbours   int
+	Patience     time.Duration // time without progress after which the next sponsor takes over
+	Wait         time.Duration // time for which a sponsor is asked to hold a request
+	Stall        time.Duration // time without a byte after which a download is given up
+	IsPressed    func() bool
+	Random       *rand.Rand
+	Log          *zap.Logger
 }
 
 // Fetcher fetches one version at a time.
@@ -197,6 +199,13 @@
 	return append(sources, f.c.Origin)
 }
 
+func (f *Fetcher) originRegion() string {
+	if f.c.OriginRegion == nil {
+		return ""
+	}
+	return f.c.OriginRegion()
+}
+
 // others returns the other agents that should have the version.
 func (f *Fetcher) others() []foxtailwharf.Instance {
 	self := f.c.Self()
--- a/internal/version/fetcher/session.go
+++ b/internal/version/fetcher/session.go
@@ -67,11 +67,12 @@
 		ended:    make(chan struct{}),
 		tellers:  make(map[string]*teller),
 		selector: selector.New(selector.Config{
-			Self:     f.c.Self(),
-			Manifest: manifest,
-			Policy:   f.c.Policy,
-			Patience: f.c.Patience,
-			Random:   rand.New(rand.NewPCG(f.c.Random.Uint64(), f.c.Random.Uint64())),
+			Self:         f.c.Self(),
+			Manifest:     manifest,
+			Policy:       f.c.Policy,
+			OriginRegion: f.originRegion(),
+			Patience:     f.c.Patience,
+			Random:       rand.New(rand.NewPCG(f.c.Random.Uint64(), f.c.Random.Uint64())),
 		}, now),
 	}
 	for i, chunk := range manifest.Chunks {
--- a/internal/version/installer/installer.go
+++ b/internal/version/installer/installer.go
@@ -1,12 +1,11 @@
 // Package installer decides what an agent does next to bring its engine to the version
 // that is wanted: fetch, stage, wait for its turn, load. It answers the naming of new
-// weights for a whole fleet under load: engines that hold nothing load at once, and of
-// the others no more than about half of a failure domain at a time, since an engine
+// weights for a whole fleet under load: engines that hold nothing load at once, and the
+// others one after the other over the time that the switch may take, since an engine
 // that loads takes no calls. It does no I/O and holds no clock.
 package installer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -24,9 +23,6 @@
 	StepLoad    Step = "Load"    // the engine gets its order
 )
 
-// turns is the number of groups of a failure domain that load one after the other.
-const turns = 2
-
 // Facts are what the decision rests on.
 type Facts struct {
 	Wanted   int64 // version; 0 for none named
@@ -35,9 +31,9 @@
 	IsBusy   bool  // with an order
 	IsWhole  bool  // all chunks of Wanted are there and verified
 	IsStaged bool  // and lie beside the engine, checked a moment ago
-	Turn     int   // group of this engine
-	// TurnTime is the age of the release from which on the next group loads.
-	TurnTime time.Duration
+	// Turn is the age of the release from which on this engine loads, if it holds an older
+	// version.
+	Turn time.Duration
 }
 
 // Next returns the next step.
@@ -49,7 +45,7 @@
 		return StepFetch
 	case f.IsBusy:
 		return StepWait
-	case f.Held != 0 && f.Age < time.Duration(f.Turn)*f.TurnTime:
+	case f.Held != 0 && f.Age < f.Turn:
 		return StepWait
 	case !f.IsStaged:
 		return StepStage
@@ -58,15 +54,16 @@
 	}
 }
 
-// Turn returns the group in which an engine loads a version: the same for all processes
-// with the same list of its failure domain.
-func Turn(self string, domain []string, version string) int {
-	ordered := slices.Clone(domain)
-	slices.SortFunc(ordered, func(a, b string) int {
-		if foxtailwharf.Score(version, a) > foxtailwharf.Score(version, b) {
-			return -1
+// Turn returns the age of a version from which on an engine loads it: the engines of a
+// failure domain follow each other evenly from first to last, in an order that is the
+// same for all processes with the same list.
+func Turn(self string, domain []string, version string, first, last time.Duration) time.Duration {
+	own := foxtailwharf.Score(version, self)
+	before := 0
+	for _, other := range domain {
+		if foxtailwharf.Score(version, other) > own {
+			before++
 		}
-		return 1
-	})
-	return max(slices.Index(ordered, self), 0) % turns
+	}
+	return first + (last-first)*time.Duration(before)/time.Duration(max(len(domain), 1))
 }
--- a/internal/version/selector/selector.go
+++ b/internal/version/selector/selector.go
@@ -44,6 +44,9 @@
 	Self     foxtailwharf.Instance
 	Manifest foxtailwharf.Manifest
 	Policy   foxtailwharf.FetchPolicy
+	// OriginRegion is where the origin stands; its region draws all chunks, so that each
+	// crosses to the other regions once. Where it is empty the draws are spread evenly.
+	OriginRegion string
 	// Patience is the time after which the next in line takes over from a sponsor
 	// that has not brought its chunk into the region.
 	Patience time.Duration
--- a/internal/version/selector/sponsor.go
+++ b/internal/version/selector/sponsor.go
@@ -28,10 +28,18 @@
 // isInWindow reports whether a chunk's turn to be drawn has come: the one a window
 // before it, of the same primary region, has arrived somewhere near.
 func (s *Selector) isInWindow(chunk int) bool {
-	before := chunk - window*len(s.regions)
+	before := chunk - window*s.primaryRegions()
 	return before < 0 || s.has[before] || s.near[before] > 0
 }
 
+// primaryRegions returns in how many regions chunks are drawn from the origin.
+func (s *Selector) primaryRegions() int {
+	if slices.Contains(s.regions, s.c.OriginRegion) {
+		return 1
+	}
+	return len(s.regions)
+}
+
 func (s *Selector) score(chunk int, name string) uint64 {
 	return foxtailwharf.Score(s.c.Manifest.Chunks[chunk].Digest, name)
 }
@@ -55,7 +63,10 @@
 	return Fetch{Chunk: chunk, From: Origin}, true
 }
 
-// primaryRegion spreads the chunks evenly over the regions.
+// primaryRegion is the origin's region, or else spreads the chunks evenly over the regions.
 func (s *Selector) primaryRegion(chunk int) string {
+	if slices.Contains(s.regions, s.c.OriginRegion) {
+		return s.c.OriginRegion
+	}
 	return s.regions[chunk%len(s.regions)]
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -267,15 +267,24 @@
 	// digest of the list of agents that the entry knows
 	Digest string `json:"Digest"`
 
+	// failure domain of the entry
+	Domain string `json:"Domain,omitempty,omitzero"`
+
 	// agents that share weights; left out where the agent has the list of this digest
 	Domains []FleetDomain `json:"Domains,omitempty,omitzero"`
 
+	// the entry does not know when the release was named
+	IsGuess bool `json:"IsGuess,omitempty,omitzero"`
+
 	// model that the upstream serves; empty where it has no weights
 	Model string `json:"Model,omitempty,omitzero"`
 
 	// address of the origin of weights
 	Origin string `json:"Origin,omitempty,omitzero"`
 
+	// failure domain of the origin
+	OriginDomain string `json:"OriginDomain,omitempty,omitzero"`
+
 	// version of the weights that the upstream should hold; 0 for none named
 	Release int64 `json:"Release,omitempty,omitzero"`
 
@@ -309,14 +318,23 @@
 	// takes nothing new until the weights are loaded
 	IsLoading bool `json:"IsLoading,omitempty,omitzero"`
 
+	// model of Release
+	Model string `json:"Model,omitempty,omitzero"`
+
 	// Queued corresponds to the JSON schema field "Queued".
 	Queued int `json:"Queued,omitempty,omitzero"`
 
+	// version of the weights that the agent was told; left out with Entries
+	Release int64 `json:"Release,omitempty,omitzero"`
+
+	// time since the release was first heard of by any entry
+	ReleaseAgeMillis int64 `json:"ReleaseAgeMillis,omitempty,omitzero"`
+
 	// Running corresponds to the JSON schema field "Running".
 	Running int `json:"Running,omitempty,omitzero"`
 
-	// address of the upstream
-	Upstream string `json:"Upstream"`
+	// of the upstream; set while the entry may not know the agent
+	Service string `json:"Service,omitempty,omitzero"`
 
 	// version of the weights held whole; 0 for none
 	Weights int64 `json:"Weights,omitempty,omitzero"`
