--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -35,7 +35,9 @@
 	proofMargin = 300 * time.Millisecond
 	// switchMargin is kept from the time after which no call may begin on old weights:
 	// a call may wait in the engine's queue.
-	switchMargin = time.Second
+	switchMargin = 800 * time.Millisecond
+	// dueMargin is kept from the same time before calls that have not begun are taken back.
+	dueMargin = 200 * time.Millisecond
 	// idleTime is how long a caller's connection may be idle, and headTime how long its
 	// head may take; both are above what the operators allow callers.
 	idleTime = time.Minute
--- a/internal/process/distributor/releases.go
+++ b/internal/process/distributor/releases.go
@@ -114,11 +114,13 @@
 			continue
 		}
 		for _, n := range d.named[s.Engine.Model] {
-			life := d.c.Settings.Switch - switchMargin
+			mustAt := n.at.Add(d.c.Settings.Switch - switchMargin)
+			dueAt := n.at.Add(d.c.Settings.Switch - dueMargin)
 			if n.isGuess {
-				life = unknownTime
+				mustAt = n.at.Add(unknownTime)
+				dueAt = mustAt
 			}
-			b.SetRelease(name, n.version, n.at.Add(life))
+			b.SetRelease(name, n.version, mustAt, dueAt)
 		}
 	}
 }
--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -2,11 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"math/rand/v2"
-	"net/http"
-	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
@@ -22,41 +17,53 @@
 const (
 	// stepInterval is the time between two looks at what is next.
 	stepInterval = 50 * time.Millisecond
+	// failurePause is the pause after a step that failed.
+	failurePause = 200 * time.Millisecond
 	// firstTurn and lastTurn are the parts of the time for the switch at which the first
 	// and the last engine of a failure domain load: the chunks take a part of it, and in
 	// the rest an engine finishes what it runs.
 	firstTurn = 0.35
 	lastTurn  = 0.85
+	// replacedTurn stands in for firstTurn where a newer release is on its way, which
+	// would make the load needless.
+	replacedTurn = 0.65
 	// loadTime is how long a load may take before it is ordered again.
 	loadTime = 6 * time.Second
-	// manifestPeers is the number of agents asked where the origin gives no manifest.
-	manifestPeers = 3
-	// manifestTime bounds the reading of a manifest.
-	manifestTime = time.Second
-	// maxManifestBytes bounds a manifest.
-	maxManifestBytes = 1 << 20
 	// freshTime is how long the check of staged chunks counts.
 	freshTime = 500 * time.Millisecond
 )
 
 // install brings the engine to the wanted release.
 type install struct {
-	p         *Provisioner
-	done      chan struct{}
-	release   foxtailwharf.Release
-	digest    string // of the release's manifest; empty before it is there
-	chunks    []foxtailwharf.Chunk
-	isSearch  bool // the chunks that lie beside the engine were looked through
-	checked   time.Time
-	born      time.Time // of the engine that was last seen
-	orderedAt time.Time // zero while no load is on its way
+	p    *Provisioner
+	done chan struct{}
+	// newest is the release that is wanted, previous the one wanted before it where the
+	// engine does not hold it; nil for none.
+	newest       *bundle
+	previous     *bundle
+	isOnPrevious bool      // previous is being fetched
+	born         time.Time // of the engine that was last seen
+	orderedAt    time.Time // zero while no load is on its way
+}
+
+// bundle is a release with its chunks.
+type bundle struct {
+	release    foxtailwharf.Release
+	named      time.Time
+	digest     string // of the manifest; empty before it is there
+	chunks     []foxtailwharf.Chunk
+	isSearched bool // the chunks that lie beside the engine were looked through
+	checked    time.Time
+	held       int // at the last look
+	advanced   time.Time
 }
 
 func (i *install) run(ctx context.Context) {
 	defer close(i.done)
 	for pauser.Sleep(ctx, stepInterval) {
 		if err := i.step(ctx); err != nil && ctx.Err() == nil {
-			i.p.c.Log.Warn("agent: The engine is not on the wanted release.", zap.Int64("Version", i.release.Version), zap.Error(err))
+			i.p.c.Log.Warn("agent: The engine is not on the wanted release.", zap.Int64("Version", i.newest.release.Version), zap.Error(err))
+			pauser.Sleep(ctx, failurePause)
 		}
 	}
 }
@@ -69,82 +76,146 @@
 	if n.release.Version == 0 {
 		return nil
 	}
-	if n.release != i.release {
-		*i = install{p: i.p, done: i.done, release: n.release, orderedAt: i.orderedAt}
-	}
+	i.hear(n, load)
 	isUp := !load.IsDown && !load.Born.IsZero()
-	if isUp && !load.Born.Equal(i.born) {
-		i.born, i.orderedAt, i.checked = load.Born, time.Time{}, time.Time{}
-		i.setLoading(false)
+	if isUp {
+		i.see(load)
 	}
-	if load.Weights >= i.release.Version && i.isLoadOver() {
-		i.p.c.Log.Info("agent: The engine holds the release.", zap.Int64("Version", load.Weights), zap.Duration("AfterNaming", time.Since(n.named)))
+	if i.newest.digest == "" {
+		if err := i.readManifest(ctx, i.newest); err != nil {
+			return err
+		}
 	}
-	if i.digest == "" {
-		if err := i.readManifest(ctx); err != nil {
+	if isUp && !i.newest.isSearched {
+		if err := i.search(ctx, i.newest); err != nil {
 			return err
 		}
 	}
-	if !i.isSearch && !isUp && !i.p.c.Settings.IsFirstStart {
-		// The chunks are fetched while the engine starts; what lies beside it is looked
-		// through once it answers.
-		i.p.fetcher.Want(i.digest)
-		return nil
+	// While the engine starts for the first time its chunks may lie beside it, so nothing
+	// is fetched before it answers.
+	if isUp || !i.p.c.Settings.IsFirstStart {
+		i.fetch()
 	}
 	if !isUp {
 		return nil
 	}
-	return i.act(ctx, n, load)
+	return i.act(ctx, i.target(), load)
 }
 
-// isLoadOver ends the wait for a load, and reports whether there was one.
-func (i *install) isLoadOver() bool {
+// hear takes in the release that is wanted.
+func (i *install) hear(n notice, load foxtailwharf.UpstreamLoad) {
+	if i.newest != nil && i.newest.release == n.release {
+		i.newest.named = n.named
+		return
+	}
+	i.previous = nil
+	if i.newest != nil && i.newest.digest != "" && load.Weights < i.newest.release.Version {
+		i.previous = i.newest
+	}
+	i.newest = &bundle{release: n.release, named: n.named, advanced: time.Now()}
+	i.isOnPrevious = false
+}
+
+// see takes in the engine's state.
+func (i *install) see(load foxtailwharf.UpstreamLoad) {
+	if !load.Born.Equal(i.born) {
+		i.born = load.Born
+		i.newest.checked = time.Time{}
+		i.endLoad()
+		return
+	}
 	if i.orderedAt.IsZero() {
-		return false
+		return
+	}
+	if load.Weights >= i.target().release.Version {
+		i.p.c.Log.Info("agent: The engine holds the release.", zap.Int64("Version", load.Weights), zap.Duration("AfterNaming", time.Since(i.newest.named)))
+		i.endLoad()
+	} else if time.Since(i.orderedAt) > loadTime {
+		i.p.c.Log.Warn("agent: The load took too long; it is ordered again.", zap.Int64("Version", i.newest.release.Version))
+		i.endLoad()
 	}
+}
+
+// endLoad ends the wait for a load.
+func (i *install) endLoad() {
 	i.orderedAt = time.Time{}
 	i.setLoading(false)
-	return true
 }
 
-// act decides and does one step.
-func (i *install) act(ctx context.Context, n notice, load foxtailwharf.UpstreamLoad) error {
-	if !i.isSearch {
-		if err := i.search(ctx); err != nil {
-			return err
-		}
+// progress looks at how far a release is.
+func (i *install) progress(b *bundle) installer.Progress {
+	if b == nil || b.digest == "" {
+		return installer.Progress{}
+	}
+	held, total := i.p.holder.Count(b.digest)
+	if held != b.held {
+		b.held, b.advanced = held, time.Now()
+	}
+	return installer.Progress{Held: held, Total: total, Idle: time.Since(b.advanced)}
+}
+
+// fetch chooses the release to fetch.
+func (i *install) fetch() {
+	isPrevious := installer.IsPreviousNext(i.progress(i.newest), i.progress(i.previous), i.isOnPrevious)
+	wanted := i.newest
+	if isPrevious {
+		wanted = i.previous
 	}
-	held, total := i.p.holder.Count(i.digest)
-	if !i.orderedAt.IsZero() && time.Since(i.orderedAt) > loadTime {
-		i.p.c.Log.Warn("agent: The load took too long; it is ordered again.", zap.Int64("Version", i.release.Version))
-		i.isLoadOver()
+	if isPrevious != i.isOnPrevious {
+		i.isOnPrevious = isPrevious
+		wanted.advanced = time.Now()
+		i.p.c.Log.Info("agent: Another release is fetched.", zap.Int64("Version", wanted.release.Version))
 	}
+	i.p.fetcher.Want(wanted.digest)
+}
+
+// isWhole reports whether all chunks of a release are there.
+func (i *install) isWhole(b *bundle) bool {
+	p := i.progress(b)
+	return p.Total > 0 && p.Held == p.Total
+}
+
+// target returns the release to load: the newest, or the one before it while the newest
+// is not whole and that one is.
+func (i *install) target() *bundle {
+	if i.previous != nil && !i.isWhole(i.newest) && i.isWhole(i.previous) {
+		return i.previous
+	}
+	return i.newest
+}
+
+// act decides and does one step.
+func (i *install) act(ctx context.Context, b *bundle, load foxtailwharf.UpstreamLoad) error {
 	facts := installer.Facts{
-		Wanted:   i.release.Version,
-		Age:      time.Since(n.named),
+		Wanted:   b.release.Version,
+		Age:      time.Since(b.named),
 		Held:     load.Weights,
 		IsBusy:   !i.orderedAt.IsZero(),
-		IsWhole:  total > 0 && held == total,
-		IsStaged: time.Since(i.checked) < freshTime,
-		Turn:     i.turn(),
+		IsWhole:  i.isWhole(b),
+		IsStaged: time.Since(b.checked) < freshTime,
+		Turn:     i.turn(b),
 	}
 	switch installer.Next(facts) {
 	case installer.StepStage:
-		return i.stage(ctx)
+		return i.stage(ctx, b)
 	case installer.StepLoad:
-		return i.load(ctx)
+		return i.load(ctx, b)
 	default:
 		return nil
 	}
 }
 
 // turn returns the age of the release from which on this engine loads.
-func (i *install) turn() time.Duration {
+func (i *install) turn(b *bundle) time.Duration {
+	first := firstTurn
+	if b != i.newest && !i.progress(i.newest).IsStalled() {
+		first = replacedTurn
+	}
 	limit := float64(i.p.c.Settings.Switch)
 	i.p.mu.Lock()
 	defer i.p.mu.Unlock()
-	version := strconv.FormatInt(i.release.Version, 10)
-	return installer.Turn(i.p.c.Settings.Address.String(), i.p.domain, version, time.Duration(limit*firstTurn), time.Duration(limit*lastTurn))
+	version := strconv.FormatInt(b.release.Version, 10)
+	return installer.Turn(i.p.c.Settings.Address.String(), i.p.domain, version, time.Duration(limit*first), time.Duration(limit*lastTurn))
 }
 
 // setLoading tells the entries at once whether the engine takes calls.
@@ -158,110 +229,37 @@
 	}
 }
 
-// readManifest reads the release's manifest, from the origin or another agent.
-func (i *install) readManifest(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, manifestTime)
-	defer cancel()
-	text, err := i.p.c.Origin.ReleaseManifest(ctx, i.release)
-	if err != nil {
-		if text, err = i.manifestFromPeers(ctx); err != nil {
-			return err
-		}
-	}
-	digest := foxtailwharf.Digest(text)
-	manifest, err := i.p.holder.AddManifest(digest, text)
-	if err != nil {
-		return err
-	}
-	i.p.c.Origin.Learn(i.release, manifest)
-	i.digest, i.chunks = digest, manifest.Chunks
-	i.p.mu.Lock()
-	i.p.digests[i.release] = digest
-	i.p.mu.Unlock()
-	return nil
-}
-
-// manifestFromPeers asks a few agents for the manifest.
-func (i *install) manifestFromPeers(ctx context.Context) ([]byte, error) {
-	agents := slices.Clone(i.p.holders())
-	rand.Shuffle(len(agents), func(a, b int) { agents[a], agents[b] = agents[b], agents[a] })
-	err := errors.New("install.manifestFromPeers: no agent to ask")
-	for _, a := range agents[:min(manifestPeers, len(agents))] {
-		var text []byte
-		if text, err = i.getManifest(ctx, a.Address); err == nil {
-			return text, nil
-		}
-	}
-	return nil, err
-}
-
-func (i *install) getManifest(ctx context.Context, address netip.AddrPort) ([]byte, error) {
-	target := "http://" + address.String() + pathReleases + i.release.Model + "/" + strconv.FormatInt(i.release.Version, 10)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "install.getManifest")
-	}
-	response, err := i.p.http.Do(request)
-	if err != nil {
-		return nil, errors.Wrap(err, "install.getManifest")
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("install.getManifest: status %d from %s", response.StatusCode, address)
-	}
-	return io.ReadAll(io.LimitReader(response.Body, maxManifestBytes))
-}
-
-// search takes in the chunks of the release that lie beside the engine, and asks for the
-// others.
-func (i *install) search(ctx context.Context) error {
-	numbers, err := i.p.c.Slot.Staged(ctx, i.release.Model)
+// search takes in the chunks of the release that lie beside the engine.
+func (i *install) search(ctx context.Context, b *bundle) error {
+	numbers, err := i.p.c.Slot.Staged(ctx, b.release.Model)
 	if err != nil {
 		return err
 	}
 	found := 0
 	for _, number := range numbers {
-		if number < 0 || number >= len(i.chunks) {
+		if number < 0 || number >= len(b.chunks) {
 			continue
 		}
-		data, err := i.p.c.Slot.StagedChunk(ctx, i.release.Model, number)
+		data, err := i.p.c.Slot.StagedChunk(ctx, b.release.Model, number)
 		if err != nil {
 			return err
 		}
-		if i.p.holder.Put(i.chunks[number], data) == nil {
+		if i.p.holder.Put(b.chunks[number], data) == nil {
 			found++
 		}
 	}
-	i.isSearch = true
-	i.keep()
-	i.p.fetcher.Want(i.digest)
-	i.p.c.Log.Info("agent: Chunks beside the engine were looked through.", zap.Int64("Version", i.release.Version), zap.Int("Found", found))
+	b.isSearched = true
+	i.p.c.Log.Info("agent: Chunks beside the engine were looked through.", zap.Int64("Version", b.release.Version), zap.Int("Found", found))
 	return nil
 }
 
-// keep drops the chunks of releases before the last one.
-func (i *install) keep() {
-	i.p.mu.Lock()
-	kept := []string{i.digest}
-	for release, digest := range i.p.digests {
-		switch {
-		case release.Model == i.release.Model && release.Version == i.release.Version-1:
-			kept = append(kept, digest)
-		case release != i.release:
-			delete(i.p.digests, release)
-		}
-	}
-	i.p.mu.Unlock()
-	i.p.holder.Keep(kept...)
-}
-
 // stage lays the chunks beside the engine that are not there as they should be, and
-// checks all of them.
-func (i *install) stage(ctx context.Context) error {
+// checks those that were.
+func (i *install) stage(ctx context.Context, b *bundle) error {
 	started := time.Now()
 	laid := 0
-	for number, chunk := range i.chunks {
-		data, err := i.p.c.Slot.StagedChunk(ctx, i.release.Model, number)
+	for number, chunk := range b.chunks {
+		data, err := i.p.c.Slot.StagedChunk(ctx, b.release.Model, number)
 		if err == nil && foxtailwharf.Digest(data) == chunk.Digest {
 			continue
 		}
@@ -269,22 +267,22 @@
 		if !isHeld {
 			return errors.Errorf("install.stage: chunk %d is missing", number)
 		}
-		if err := i.p.c.Slot.Stage(ctx, i.release.Model, number, held); err != nil {
+		if err := i.p.c.Slot.Stage(ctx, b.release.Model, number, held); err != nil {
 			return err
 		}
 		laid++
 	}
 	if laid == 0 {
-		i.checked = started
+		b.checked = started
 	}
-	i.p.c.Log.Info("agent: Chunks were staged.", zap.Int64("Version", i.release.Version), zap.Int("Laid", laid), zap.Duration("Took", time.Since(started)))
+	i.p.c.Log.Info("agent: Chunks were staged.", zap.Int64("Version", b.release.Version), zap.Int("Laid", laid), zap.Duration("Took", time.Since(started)))
 	return nil
 }
 
 // load orders the engine to load what was staged. An order without an answer may have
 // been accepted; the engine's state tells.
-func (i *install) load(ctx context.Context) error {
-	state, err := i.p.c.Slot.State(ctx, i.release.Model)
+func (i *install) load(ctx context.Context, b *bundle) error {
+	state, err := i.p.c.Slot.State(ctx, b.release.Model)
 	if err != nil {
 		return err
 	}
@@ -293,10 +291,10 @@
 	}
 	i.setLoading(true)
 	i.orderedAt = time.Now()
-	if err := i.p.c.Slot.Load(ctx, i.release, state.Sequence); err != nil {
-		i.isLoadOver()
+	if err := i.p.c.Slot.Load(ctx, b.release, state.Sequence); err != nil {
+		i.endLoad()
 		return err
 	}
-	i.p.c.Log.Info("agent: The engine was ordered to load.", zap.Int64("Version", i.release.Version), zap.Int("Running", state.Running), zap.Int("Queued", state.Queued))
+	i.p.c.Log.Info("agent: The engine was ordered to load.", zap.Int64("Version", b.release.Version), zap.Int("Running", state.Running), zap.Int("Queued", state.Queued))
 	return nil
 }
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -16,11 +16,11 @@
 
 // Ask is a call that needs an upstream.
 type Ask struct {
-	Want     balancer.Want
-	Priority int
-	Arrived  time.Time
-	OnTime   time.Time // the latest start with which the call is on time
-	GiveUp   time.Time // until when it waits
+	Want    balancer.Want
+	Rank    queuer.Rank
+	Arrived time.Time
+	OnTime  time.Time // the latest start with which the call is on time
+	GiveUp  time.Time // until when it waits
 }
 
 // Assigner gives calls their upstream.
@@ -68,6 +68,13 @@
 	return a.balancer.IsLost(time.Now(), u.ID, u.Born)
 }
 
+// DueAt returns when a call at an upstream must have begun; zero for never.
+func (a *Assigner) DueAt(u foxtailwharf.Upstream) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.DueAt(time.Now(), u.ID)
+}
+
 // Waiting returns the number of calls that wait.
 func (a *Assigner) Waiting() int {
 	a.mu.Lock()
@@ -104,7 +111,7 @@
 	a.last++
 	w := &waiter{ask: ask, granted: make(chan foxtailwharf.Upstream, 1)}
 	a.waiters[a.last] = w
-	a.queue.Add(queuer.Item{ID: a.last, Service: ask.Want.Service, Priority: ask.Priority, Arrived: ask.Arrived, OnTime: ask.OnTime})
+	a.queue.Add(queuer.Item{ID: a.last, Service: ask.Want.Service, Rank: ask.Rank, Arrived: ask.Arrived, OnTime: ask.OnTime})
 	a.dispatch(now)
 	select {
 	case u := <-w.granted:
@@ -132,23 +139,23 @@
 	return foxtailwharf.Upstream{}, foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "no upstream had room in time")
 }
 
-// dispatch gives out all room there is. Calls of a service and priority for which
+// dispatch gives out all room there is. Calls of a service and rank for which
 // there was none are passed over.
 func (a *Assigner) dispatch(now time.Time) {
 	type kind struct {
-		service  string
-		priority int
+		service string
+		rank    queuer.Rank
 	}
 	full := make(map[kind]bool)
 	for {
-		item := a.queue.Next(now, func(i *queuer.Item) bool { return !full[kind{i.Service, i.Priority}] })
+		item := a.queue.Next(now, func(i *queuer.Item) bool { return !full[kind{i.Service, i.Rank}] })
 		if item == nil {
 			return
 		}
 		w := a.waiters[item.ID]
 		u, isFound, _ := a.balancer.Pick(now, w.ask.Want)
 		if !isFound {
-			full[kind{item.Service, item.Priority}] = true
+			full[kind{item.Service, item.Rank}] = true
 			continue
 		}
 		a.queue.Remove(item.ID)
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -78,8 +78,10 @@
 // release is a version that was named for a service.
 type release struct {
 	version int64
-	// mustAt is when older versions stop getting calls.
+	// mustAt is when older versions stop getting calls, and dueAt when a call that has not
+	// begun on them must not begin any more.
 	mustAt time.Time
+	dueAt  time.Time
 }
 
 // upstream is one instance with what is known of its load.
@@ -118,17 +120,17 @@
 // in quick succession are each due by a time of their own.
 const maxReleases = 4
 
-// SetRelease names a version of a service's weights, and from when on no older one may
-// answer. Naming it again changes the time.
-func (b *Balancer) SetRelease(service string, version int64, mustAt time.Time) {
+// SetRelease names a version of a service's weights, from when on no older one gets calls,
+// and when none may begin on an older one. Naming it again changes the times.
+func (b *Balancer) SetRelease(service string, version int64, mustAt, dueAt time.Time) {
 	list := b.releases[service]
 	for i := range list {
 		if list[i].version == version {
-			list[i].mustAt = mustAt
+			list[i].mustAt, list[i].dueAt = mustAt, dueAt
 			return
 		}
 	}
-	list = append(list, release{version: version, mustAt: mustAt})
+	list = append(list, release{version: version, mustAt: mustAt, dueAt: dueAt})
 	slices.SortFunc(list, func(a, b release) int { return cmp.Compare(a.version, b.version) })
 	b.releases[service] = list[max(len(list)-maxReleases, 0):]
 }
@@ -143,6 +145,22 @@
 	return version
 }
 
+// DueAt returns when a call at an upstream must have begun, because the weights that it
+// holds are replaced; zero for never.
+func (b *Balancer) DueAt(now time.Time, id string) time.Time {
+	u := b.byID[id]
+	if u == nil {
+		return time.Time{}
+	}
+	held := u.weights(now)
+	for _, r := range b.releases[u.Service] {
+		if r.version > held {
+			return r.dueAt
+		}
+	}
+	return time.Time{}
+}
+
 // Set replaces the list. What is known of upstreams that stay is kept; a new start of
 // a process is a new upstream.
 func (b *Balancer) Set(list []foxtailwharf.Upstream) {
--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/matcher"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
 )
 
 // Constants of admission.
@@ -63,7 +64,7 @@
 func (x *exchange) identify(s *state, isFresh bool) *foxtailwharf.Refusal {
 	keys := s.Configuration.Keys
 	account, isKnown := keys[x.call.Key]
-	x.priority = x.route.Priority
+	x.rank = queuer.Rank{Route: x.route.Priority}
 	switch {
 	case keys == nil:
 		return nil
@@ -76,7 +77,7 @@
 	}
 	x.account = account.Name
 	if account.HasPriority {
-		x.priority = account.Priority
+		x.rank.Account = account.Priority
 	}
 	return nil
 }
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/refuser"
 )
 
@@ -30,8 +31,6 @@
 	// minReturn and maxReturn bound the pause before a refused caller returns.
 	minReturn = 200 * time.Millisecond
 	maxReturn = 1500 * time.Millisecond
-	// urgencies is the number of urgencies that upstreams know.
-	urgencies = 10
 )
 
 // exchange is one call on its way.
@@ -45,7 +44,7 @@
 	service  foxtailwharf.CallService
 	version  int64 // of the configuration
 	account  string
-	priority int
+	rank     queuer.Rank
 	digest   string
 
 	excluded  map[string]bool
@@ -53,7 +52,9 @@
 	isUnknown bool // an attempt may have run without an answer to pass on
 	isBegun   bool // the head of an answer has gone to the caller
 	lastEvent string
-	weights   int64 // version that has answered so far; 0 for none
+	waited    time.Duration // until the last attempt began
+	first     time.Duration // until the first event of a stream
+	weights   int64         // version that has answered so far; 0 for none
 	// fault is an upstream's own answer that is passed on if no other gives a better one.
 	fault *wholeAnswer
 }
@@ -96,8 +97,13 @@
 			x.finish(ctx, refusal)
 			return
 		}
+		x.waited = time.Since(x.started)
 		switch x.try(ctx, u) {
-		case delivered, ended:
+		case delivered:
+			x.log("A call was answered.", zap.String("Upstream", u.ID), zap.Int("Rank", x.rank.Urgency()),
+				zap.Duration("Waited", x.waited), zap.Duration("First", x.first))
+			return
+		case ended:
 			return
 		case notRun:
 		case unknown:
@@ -133,16 +139,16 @@
 			IsModel: x.service.Engine != nil,
 			Weights: x.weights,
 		},
-		Priority: x.priority,
-		Arrived:  x.started,
-		OnTime:   x.started.Add(x.route.Goal - need),
-		GiveUp:   x.started.Add(time.Duration(float64(x.deadline.Sub(x.started)) * waitPart)),
+		Rank:    x.rank,
+		Arrived: x.started,
+		OnTime:  x.started.Add(x.route.Goal - need),
+		GiveUp:  x.started.Add(time.Duration(float64(x.deadline.Sub(x.started)) * waitPart)),
 	}
 	if x.service.Engine == nil {
 		a.Want.Room = plainRoom
 		a.GiveUp = x.deadline
 	} else {
-		a.Want.Room = modelRoom(x.priority)
+		a.Want.Room = modelRoom(x.rank)
 	}
 	return a
 }
@@ -153,8 +159,8 @@
 // modelRoom returns how many calls of a priority may be at an engine beyond its slots. A
 // few of the most urgent may queue there, so that no place is idle between two reports;
 // the others leave some places free for them.
-func modelRoom(priority int) float64 {
-	return max(urgentRoom-float64(priority)*roomStep, -maxKept)
+func modelRoom(rank queuer.Rank) float64 {
+	return max(urgentRoom-float64(rank.Route)*roomStep, -maxKept)
 }
 
 // Places at an engine by priority.
@@ -239,6 +245,7 @@
 		return
 	}
 	x.isBegun = true
+	x.first = time.Since(x.started)
 	copyHeader(x.w.Header(), header)
 	x.w.WriteHeader(status)
 }
--- a/internal/request/forwarder/try.go
+++ b/internal/request/forwarder/try.go
@@ -26,13 +26,14 @@
 	// nextSilence holds between two events.
 	nextSilence = 1200 * time.Millisecond
 	// lostInterval is the time between two looks at whether the upstream has ended.
-	lostInterval = 150 * time.Millisecond
+	lostInterval = 100 * time.Millisecond
 )
 
 // Causes by which an attempt is given up.
 var (
 	errSilent = errors.New("the upstream says nothing")
 	errLost   = errors.New("the upstream has ended")
+	errDue    = errors.New("the weights that the upstream holds are replaced")
 )
 
 // try is one attempt at one upstream.
@@ -43,6 +44,7 @@
 	silence  *time.Timer
 	lost     *time.Timer
 	isOver   atomic.Bool
+	hasBegun atomic.Bool // an event has come
 }
 
 // run makes the attempt. It returns what came of it for the call, and for the upstream.
@@ -81,7 +83,7 @@
 		UpstreamID:  t.upstream.ID,
 		Account:     x.account,
 		Remaining:   time.Until(x.deadline),
-		Urgency:     min(max(x.priority, 0), urgencies-1),
+		Urgency:     x.rank.Urgency(),
 		Weights:     x.weights,
 		LastEventID: x.lastEvent,
 	})
@@ -123,6 +125,12 @@
 		t.cancel(errLost)
 		return
 	}
+	if !t.hasBegun.Load() {
+		if due := t.x.f.c.Assigner.DueAt(t.upstream); !due.IsZero() && time.Now().After(due) {
+			t.cancel(errDue)
+			return
+		}
+	}
 	t.lost.Reset(lostInterval)
 }
 
@@ -145,6 +153,9 @@
 	if isEnded {
 		t.x.f.died(context.WithoutCancel(ctx), t.upstream, t.x.digest)
 	}
+	if errors.Is(context.Cause(ctx), errDue) {
+		return unknown, balancer.Abandoned
+	}
 	return unknown, balancer.Failed
 }
 
@@ -230,6 +241,7 @@
 
 // heard puts off the end of the attempt.
 func (t *try) heard() {
+	t.hasBegun.Store(true)
 	if t.x.route.IsRepeatable() && t.x.runs < t.x.route.Attempts {
 		t.silence.Reset(nextSilence)
 	}
--- a/internal/request/queuer/queuer.go
+++ b/internal/request/queuer/queuer.go
@@ -10,26 +10,49 @@
 
 // Constants of the order.
 const (
-	// priorityStep is what one step of priority is worth against the next.
-	priorityStep = 0.5
+	// routeStep and accountStep are what one step of a route's or account's priority is
+	// worth against the next.
+	routeStep   = 0.5
+	accountStep = 0.9
 	// latePart is what is left of a call's worth once it is late.
 	latePart = 0.36
 )
 
+// Rank is how urgent a call is: by its route, and by its client account. 0 is the most
+// urgent.
+type Rank struct {
+	Route   int
+	Account int
+}
+
+// Bounds of the urgencies that upstreams know.
+const (
+	accountRanks = 3
+	maxUrgency   = 9
+)
+
+// Urgency returns the rank as one number from 0 to 9, 0 for the most urgent.
+func (r Rank) Urgency() int {
+	return min(max(r.Route*accountRanks+min(r.Account, accountRanks-1), 0), maxUrgency)
+}
+
 // Item is a waiting call.
 type Item struct {
-	ID       uint64
-	Service  string
-	Priority int       // 0 is the most urgent
-	Arrived  time.Time // of the call at the entry
-	OnTime   time.Time // the latest start with which the call is on time
+	ID      uint64
+	Service string
+	Rank    Rank
+	Arrived time.Time // of the call at the entry
+	OnTime  time.Time // the latest start with which the call is on time
 }
 
 // worth ranks an item at a moment.
 func (i *Item) worth(now time.Time) float64 {
 	w := 1.0
-	for range i.Priority {
-		w *= priorityStep
+	for range i.Rank.Route {
+		w *= routeStep
+	}
+	for range i.Rank.Account {
+		w *= accountStep
 	}
 	if now.After(i.OnTime) {
 		w *= latePart
--- a/internal/version/installer/installer.go
+++ b/internal/version/installer/installer.go
@@ -67,3 +67,40 @@
 	}
 	return first + (last-first)*time.Duration(before)/time.Duration(max(len(domain), 1))
 }
+
+// stallTime is the time without a new chunk after which a release counts as stalled.
+const stallTime = time.Second
+
+// startedPart is the part of a release's chunks from which on it is worth completing.
+const startedPart = 0.3
+
+// Progress is how far the fetching of a release is.
+type Progress struct {
+	Held, Total int
+	// Idle is the time since the last chunk, or since its fetching began.
+	Idle time.Duration
+}
+
+func (p Progress) isWhole() bool {
+	return p.Total > 0 && p.Held == p.Total
+}
+
+// IsStalled reports whether no chunk has come for a while.
+func (p Progress) IsStalled() bool {
+	return !p.isWhole() && p.Idle >= stallTime
+}
+
+// IsPreviousNext reports whether the release before the newest one should be fetched now.
+// It answers a release that is named while the one before it spreads, and whose origin
+// then fails: the fleet completes among itself what it has most of, rather than serve
+// nothing once the oldest version is due.
+func IsPreviousNext(newest, previous Progress, isOnPrevious bool) bool {
+	switch {
+	case previous.Total == 0 || previous.isWhole() || newest.isWhole():
+		return false
+	case isOnPrevious:
+		return !previous.IsStalled()
+	default:
+		return newest.IsStalled() && float64(previous.Held) >= startedPart*float64(previous.Total)
+	}
+}
--- a/internal/version/selector/selector.go
+++ b/internal/version/selector/selector.go
@@ -21,6 +21,9 @@
 	perPeer = 1
 	// badTime is how long a source that failed is passed over; it doubles with each failure.
 	badTime = time.Second
+	// originBadTime is how long the origin is passed over after a failure. It does not
+	// grow: there is one origin, and all wait for its return.
+	originBadTime = 400 * time.Millisecond
 	// maxBadTime bounds the doubling.
 	maxBadTime = time.Minute
 	// busyTime is how long a source that was busy is passed over.
@@ -228,6 +231,10 @@
 		}
 	case Failed:
 		s.noteAsked(f)
+		if f.From == Origin {
+			s.pass(now, Origin, originBadTime, false)
+			return
+		}
 		// A neighbour that lives announces again within a second; those of a dead one
 		// would have to be tried chunk by chunk, with growing pauses.
 		s.Forget(f.From)
