--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -34,9 +34,9 @@
 	// farCost is what another failure domain counts, in calls in flight: traffic between
 	// domains is scarce, and the reports from there are older.
 	farCost = 3
-	// partFactor makes the parts that entries take of free places add up to a little more
-	// than all, since not every entry has calls waiting.
-	partFactor = 1.4
+	// partFactor makes the parts that entries take of free places add up to less than all:
+	// calls that were sent since the report are not in it.
+	partFactor = 0.7
 	// blindFactor is the same for the places of an upstream that has not reported lately.
 	blindFactor = 1.2
 	// maxEjectedPart is the part of a service's upstreams that may be left out at once:
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -165,8 +165,8 @@
 
 // Places at an engine by priority.
 const (
-	urgentRoom = 1.5
-	roomStep   = 1.5
+	urgentRoom = 0
+	roomStep   = 1
 	maxKept    = 2
 )
 
