A release that a newer one replaces is not loaded; longer waits at the store; a log that never blocks

Causes: (1) engines loaded version 2 shortly before version 3, which had been named 4 s later, and then drained twice. (3) lines on standard error with stacks, written by the request's own goroutine.

Conclusion: an engine loads the older of two releases only if the newer one stalls, or at nine tenths of the time for the switch.

--- a/cmd/foxtailwharf/main.go
+++ b/cmd/foxtailwharf/main.go
@@ -6,11 +6,10 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/process/logger"
 )
 
 const description = `foxtailwharf shares one fleet of model instances among the members of an agreement.
@@ -43,22 +42,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	parser.BindTo(ctx, (*context.Context)(nil))
-	parser.FatalIfErrorf(parser.Run(newLog(c.Verbose)))
-}
-
-// newLog returns a log of short lines on standard error.
-func newLog(isVerbose bool) *zap.Logger {
-	level := zapcore.InfoLevel
-	if isVerbose {
-		level = zapcore.DebugLevel
-	}
-	config := zapcore.EncoderConfig{
-		TimeKey:        "Time",
-		LevelKey:       "Level",
-		MessageKey:     "Message",
-		EncodeTime:     zapcore.TimeEncoderOfLayout(time.RFC3339Nano),
-		EncodeLevel:    zapcore.CapitalLevelEncoder,
-		EncodeDuration: zapcore.StringDurationEncoder,
-	}
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(os.Stderr), level))
+	log := logger.New(logger.Config{Out: os.Stdout, IsVerbose: c.Verbose})
+	err := parser.Run(log.Logger)
+	log.Close()
+	parser.FatalIfErrorf(err)
 }
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -22,13 +22,12 @@
 const (
 	// configurationWait is the wait for a new configuration. Each answer is the proof
 	// that the view is fresh, so it is a part of the time within which keys that were
-	// taken away must stop working.
-	configurationWait = 1500 * time.Millisecond
-	// listWait is the wait for changes of the list: with the time for an answer it stays
-	// under the time for which a connection that went silent may hide a leaving upstream.
-	listWait = 2200 * time.Millisecond
-	// releaseWait is the wait for releases.
-	releaseWait = 4 * time.Second
+	// taken away must stop working. A connection that went silent shows here first, and
+	// then the other subjects ask again, so that their waits may be long.
+	configurationWait = 1800 * time.Millisecond
+	// listWait and releaseWait are the waits for other changes.
+	listWait    = 8 * time.Second
+	releaseWait = 10 * time.Second
 	// listPause is the pause between two changes of the list, so that many changes at
 	// once cost one call.
 	listPause = 700 * time.Millisecond
--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -24,9 +24,12 @@
 	// the rest an engine finishes what it runs.
 	firstTurn = 0.35
 	lastTurn  = 0.85
-	// replacedTurn stands in for firstTurn where a newer release is on its way, which
-	// would make the load needless.
-	replacedTurn = 0.65
+	// replacedTurn stands in for both where a newer release is on its way, which would make
+	// the load needless.
+	replacedTurn = 0.9
+	// hurriedTurn stands in for firstTurn, counted from the naming of the release before,
+	// where the engine does not hold that one either.
+	hurriedTurn = 0.65
 	// loadTime is how long a load may take before it is ordered again.
 	loadTime = 6 * time.Second
 	// freshTime is how long the check of staged chunks counts.
@@ -193,7 +196,7 @@
 		IsBusy:   !i.orderedAt.IsZero(),
 		IsWhole:  i.isWhole(b),
 		IsStaged: time.Since(b.checked) < freshTime,
-		Turn:     i.turn(b),
+		Turn:     i.turn(b, load.Weights),
 	}
 	switch installer.Next(facts) {
 	case installer.StepStage:
@@ -206,16 +209,25 @@
 }
 
 // turn returns the age of the release from which on this engine loads.
-func (i *install) turn(b *bundle) time.Duration {
-	first := firstTurn
+func (i *install) turn(b *bundle, held int64) time.Duration {
 	if b != i.newest && !i.progress(i.newest).IsStalled() {
-		first = replacedTurn
+		return i.place(b, replacedTurn, replacedTurn)
 	}
+	turn := i.place(b, firstTurn, lastTurn)
+	if b == i.newest && i.previous != nil && held < i.previous.release.Version {
+		between := b.named.Sub(i.previous.named)
+		turn = min(turn, i.place(b, hurriedTurn, lastTurn)-between)
+	}
+	return turn
+}
+
+// place returns this engine's place between two parts of the time for the switch.
+func (i *install) place(b *bundle, first, last float64) time.Duration {
 	limit := float64(i.p.c.Settings.Switch)
+	version := strconv.FormatInt(b.release.Version, 10)
 	i.p.mu.Lock()
 	defer i.p.mu.Unlock()
-	version := strconv.FormatInt(b.release.Version, 10)
-	return installer.Turn(i.p.c.Settings.Address.String(), i.p.domain, version, time.Duration(limit*first), time.Duration(limit*lastTurn))
+	return installer.Turn(i.p.c.Settings.Address.String(), i.p.domain, version, time.Duration(limit*first), time.Duration(limit*last))
 }
 
 // setLoading tells the entries at once whether the engine takes calls.
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -33,7 +33,7 @@
 	maxEjectTime = 2 * time.Second
 	// farCost is what another failure domain counts, in calls in flight: traffic between
 	// domains is scarce, and the reports from there are older.
-	farCost = 3
+	farCost = 8
 	// partFactor makes the parts that entries take of free places add up to less than all:
 	// calls that were sent since the report are not in it.
 	partFactor = 0.7
