Stand-ins and tests of the parts on the platform's path

Cause: the new packages had no tests of their own. Two faults found on the way: a lone entry without reports filled an upstream beyond its slots (TestOwnDomainFirst, failing first); the rest passed as they stood.

--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -216,7 +216,7 @@
 		return false
 	}
 	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) > reportLife {
-		return float64(u.own) < math.Ceil(slots/float64(b.entries)*blindFactor)
+		return float64(u.own) < min(math.Ceil(slots/float64(b.entries)*blindFactor), slots)
 	}
 	free := slots - float64(u.load.Running+u.load.Queued)
 	if b.entries == 1 {
--- /dev/null
+++ b/internal/request/balancer/balancer_test.go
@@ -0,0 +1,183 @@
+package balancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+)
+
+var start = time.Unix(1000, 0)
+
+func listed(n int, domain string, weights int64) foxtailwharf.Upstream {
+	return foxtailwharf.Upstream{
+		ID: fmt.Sprintf("u%d", n), Service: "s", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
+		FailureDomain: domain, Slots: 4, Born: start, Weights: weights,
+	}
+}
+
+func machine(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)})
+}
+
+func newBalancer(list ...foxtailwharf.Upstream) *balancer.Balancer {
+	b := balancer.New(balancer.Config{FailureDomain: "near", Random: rand.New(rand.NewPCG(1, 2))})
+	b.Set(list)
+	return b
+}
+
+var model = balancer.Want{Service: "s", IsModel: true}
+
+func TestPickable(t *testing.T) {
+	draining := listed(1, "near", 1)
+	draining.IsDraining = true
+	tests := []struct {
+		name   string
+		listed foxtailwharf.Upstream
+		report *foxtailwharf.UpstreamLoad
+		want   bool
+	}{
+		{"with weights", listed(1, "near", 1), nil, true},
+		{"without weights", listed(1, "near", 0), nil, false},
+		{"the agent knows better", listed(1, "near", 0), &foxtailwharf.UpstreamLoad{Weights: 1}, true},
+		{"draining", draining, nil, false},
+		{"loading", listed(1, "near", 1), &foxtailwharf.UpstreamLoad{Weights: 1, IsLoading: true}, false},
+		{"down", listed(1, "near", 1), &foxtailwharf.UpstreamLoad{Weights: 1, IsDown: true}, false},
+		{"full", listed(1, "near", 1), &foxtailwharf.UpstreamLoad{Weights: 1, Running: 4}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBalancer(tt.listed)
+			if tt.report != nil {
+				b.Report(start, machine(1), *tt.report)
+			}
+			if _, have, _ := b.Pick(start, model); have != tt.want {
+				t.Errorf("have %t, want %t", have, tt.want)
+			}
+		})
+	}
+}
+
+// TestReleasesAreDueOneByOne plays two releases in quick succession: the second must not
+// put off the time of the first.
+func TestReleasesAreDueOneByOne(t *testing.T) {
+	b := newBalancer(listed(1, "near", 1), listed(2, "near", 2))
+	b.SetRelease("s", 2, start.Add(7*time.Second), start.Add(8*time.Second))
+	b.SetRelease("s", 3, start.Add(9*time.Second), start.Add(10*time.Second))
+	tests := []struct {
+		after time.Duration
+		want  map[string]bool
+	}{
+		{6 * time.Second, map[string]bool{"u1": true, "u2": true}},
+		{8 * time.Second, map[string]bool{"u2": true}},
+		{9 * time.Second, map[string]bool{}},
+	}
+	for _, tt := range tests {
+		have := make(map[string]bool)
+		for range 50 {
+			if u, isFound, _ := b.Pick(start.Add(tt.after), model); isFound {
+				have[u.ID] = true
+			}
+		}
+		if fmt.Sprint(have) != fmt.Sprint(tt.want) {
+			t.Errorf("after %s: have %v, want %v", tt.after, have, tt.want)
+		}
+	}
+	if have := b.DueAt(start, "u1"); !have.Equal(start.Add(8 * time.Second)) {
+		t.Errorf("a call on version 1 must begin by the due time of version 2, have %s", have)
+	}
+}
+
+// TestFreePlacesAreShared plays many entries that see the same few free places, and checks
+// that together they send little more than there is room for.
+func TestFreePlacesAreShared(t *testing.T) {
+	const entries, rounds, upstreams = 8, 200, 6
+	sent, free := 0, 0
+	all := make([]*balancer.Balancer, entries)
+	for i := range all {
+		all[i] = balancer.New(balancer.Config{FailureDomain: "near", Random: rand.New(rand.NewPCG(uint64(i), 7))})
+		all[i].SetEntries(entries)
+	}
+	now := start
+	for round := range rounds {
+		now = now.Add(100 * time.Millisecond)
+		for i := range all {
+			var list []foxtailwharf.Upstream
+			for n := range upstreams {
+				list = append(list, listed(n+1, "near", 1))
+			}
+			all[i].Set(list)
+			for n := range upstreams {
+				all[i].Report(now, machine(n+1), foxtailwharf.UpstreamLoad{Weights: 1, Running: 2 + round%3})
+			}
+		}
+		free += upstreams * (2 - round%3)
+		for _, b := range all {
+			for {
+				u, isFound, _ := b.Pick(now, model)
+				if !isFound {
+					break
+				}
+				b.Sent(u.ID)
+				sent++
+			}
+			for n := range upstreams {
+				for range 4 {
+					// The calls end before the next round.
+					b.Finished(now, fmt.Sprintf("u%d", n+1), balancer.Abandoned)
+				}
+			}
+		}
+	}
+	if sent > free {
+		t.Errorf("%d calls went to %d free places", sent, free)
+	}
+	if float64(sent) < 0.5*float64(free) {
+		t.Errorf("%d calls for %d free places: too many stay idle", sent, free)
+	}
+}
+
+func TestOwnDomainFirst(t *testing.T) {
+	b := newBalancer(listed(1, "near", 1), listed(2, "far", 1))
+	for range 4 {
+		u, isFound, _ := b.Pick(start, model)
+		if !isFound || u.ID != "u1" {
+			t.Fatalf("have %s, want the upstream of the own failure domain while it has room", u.ID)
+		}
+		b.Sent(u.ID)
+	}
+	if u, _, _ := b.Pick(start, model); u.ID != "u2" {
+		t.Errorf("have %q, want the other failure domain's upstream once the own one is full", u.ID)
+	}
+}
+
+func TestFaultsEject(t *testing.T) {
+	b := newBalancer(listed(1, "near", 1), listed(2, "far", 1), listed(3, "far", 1))
+	for range 3 {
+		b.Sent("u1")
+		b.Finished(start, "u1", balancer.Failed)
+	}
+	for range 20 {
+		if u, _, _ := b.Pick(start, model); u.ID == "u1" {
+			t.Fatal("an upstream with three faults in a row should be left out")
+		}
+	}
+	if u, _, _ := b.Pick(start.Add(time.Second), model); u.ID != "u1" {
+		t.Errorf("have %s: it should be tried again after the pause", u.ID)
+	}
+}
+
+func TestNewBirthIsNewUpstream(t *testing.T) {
+	b := newBalancer(listed(1, "near", 1))
+	b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Born: start.Add(time.Second), Weights: 1})
+	if !b.IsLost(start, "u1", start) {
+		t.Error("an engine that has started anew has lost the calls of before")
+	}
+	if b.IsLost(start.Add(time.Minute), "u1", start) {
+		t.Error("an old report proves nothing")
+	}
+}
--- /dev/null
+++ b/internal/request/forwarder/forwarder_test.go
@@ -0,0 +1,450 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/exchanger"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/forwarder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/rationer"
+	"github.com/foxtailwharf/foxtailwharf/standin"
+)
+
+const proofLife = 5 * time.Second
+
+// bench is one entry's forwarder before a few upstreams, on a network in memory.
+type bench struct {
+	t         *testing.T
+	fabric    *standin.Fabric
+	network   *standin.Host
+	forwarder *forwarder.Forwarder
+	assigner  *assigner.Assigner
+	client    *http.Client
+	view      follower.View
+	clock     time.Duration
+	servers   []*standin.Server
+	calls     atomic.Int64
+	warned    atomic.Int64
+
+	mu   sync.Mutex
+	runs map[string]int // of each call, counted by the upstreams
+}
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)
+}
+
+// run plays a scenario under fake time.
+func run(t *testing.T, play func(b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		play(b)
+		// net/http lingers for half a second on a connection whose body was not read.
+		time.Sleep(time.Second)
+		b.client.CloseIdleConnections()
+		for _, s := range b.servers {
+			s.Close()
+		}
+	})
+}
+
+func newBench(t *testing.T) *bench {
+	fabric := standin.NewFabric(time.Millisecond, 0)
+	b := &bench{t: t, fabric: fabric, network: fabric.Host("d", "r", 0), runs: make(map[string]int)}
+	b.assigner = assigner.New(balancer.New(balancer.Config{FailureDomain: "d", Random: rand.New(rand.NewPCG(1, 1))}))
+	b.forwarder = forwarder.New(forwarder.Config{
+		Dialect:   standin.Dialect{},
+		Assigner:  b.assigner,
+		Exchanger: exchanger.New(exchanger.Config{Network: b.network}),
+		Recorder:  recorder.New(),
+		Clock:     func() time.Duration { return b.clock },
+		ProofLife: proofLife,
+		Ration:    rationer.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 20},
+		Warn:      func(context.Context) { b.warned.Add(1) },
+		Random:    rand.New(rand.NewPCG(2, 2)),
+		Log:       zap.NewNop(),
+	})
+	b.client = &http.Client{Transport: dialer.Transport(b.network, false)}
+	b.view = follower.View{HasProof: true, HasList: true, Configuration: &foxtailwharf.Configuration{
+		Version: 1,
+		Routes: []foxtailwharf.CallRoute{
+			route("/chat/", foxtailwharf.CallStream, func(r *foxtailwharf.CallRoute) { r.IsResumable = true }),
+			route("/tale/", foxtailwharf.CallStream, nil),
+			route("/book/", foxtailwharf.CallOnce, nil),
+			route("/look/", foxtailwharf.CallRepeatable, nil),
+			route("/open/", foxtailwharf.CallRepeatable, func(r *foxtailwharf.CallRoute) { r.IsPublic = true }),
+		},
+		Services: map[string]foxtailwharf.CallService{"s": {Name: "s"}},
+		Keys:     map[string]foxtailwharf.CallAccount{"k1": {Name: "a1"}},
+	}}
+	b.serve(address(1), b.forwarder)
+	return b
+}
+
+func route(prefix string, kind foxtailwharf.CallKind, change func(r *foxtailwharf.CallRoute)) foxtailwharf.CallRoute {
+	r := foxtailwharf.CallRoute{
+		Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: 6 * time.Second, Goal: 400 * time.Millisecond,
+		Targets: []foxtailwharf.CallTarget{{Service: "s", Weight: 1}}, Attempts: 2,
+	}
+	if change != nil {
+		change(&r)
+	}
+	return r
+}
+
+func (b *bench) serve(at netip.AddrPort, handler http.Handler) {
+	s, err := standin.Serve(b.t.Context(), b.network, at, handler)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.servers = append(b.servers, s)
+}
+
+// upstream adds an upstream that answers by a function.
+func (b *bench) upstream(n int, answer func(w http.ResponseWriter, r *http.Request)) {
+	b.serve(address(n), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		b.runs[r.Header.Get(standin.FieldCall)]++
+		b.mu.Unlock()
+		// net/http watches for the caller's leaving once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(standin.FieldCall, r.Header.Get(standin.FieldCall))
+		w.Header().Set(standin.FieldSigned, strconv.Itoa(n))
+		answer(w, r)
+	}))
+	b.view.Upstreams = append(b.view.Upstreams, foxtailwharf.Upstream{ID: strconv.Itoa(n), Service: "s", Address: address(n), FailureDomain: "d", Slots: 8})
+	b.update()
+}
+
+// update puts the view in force.
+func (b *bench) update() {
+	b.forwarder.SetView(b.view)
+	b.assigner.Update(func(x *balancer.Balancer) { x.Set(b.view.Upstreams) })
+}
+
+// answer is what a caller got.
+type answer struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+// call calls as a caller does.
+func (b *bench) call(path string, change func(r *http.Request)) answer {
+	id := fmt.Sprintf("call-%d", b.calls.Add(1))
+	r, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, "http://"+address(1).String()+path, io.NopCloser(strings.NewReader("body")))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set(standin.FieldCall, id)
+	r.Header.Set(standin.FieldKey, "k1")
+	if change != nil {
+		change(r)
+	}
+	response, err := b.client.Do(r)
+	if err != nil {
+		return answer{id: id, err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{id: id, status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func (b *bench) ran(a answer) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[a.id]
+}
+
+func text(status int, body string) func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func breakOff(http.ResponseWriter, *http.Request) {
+	panic(http.ErrAbortHandler)
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Del(standin.FieldSigned)
+	w.Header().Set(standin.FieldNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// events streams so many events, then breaks off if it is told so.
+func events(from, to int, isBroken bool) func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		first := from
+		if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+			first = last + 1
+		}
+		for n := first; n <= to; n++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+		if isBroken {
+			_, _ = io.WriteString(w, "id: 99\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// TestAtMostOnce checks what a caller is told of a call that must not run twice.
+func TestAtMostOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  func(w http.ResponseWriter, r *http.Request)
+		status int
+		runs   int
+	}{
+		{"answered", text(http.StatusOK, "ok"), http.StatusOK, 1},
+		{"the upstream's own fault", text(http.StatusInternalServerError, "bad"), http.StatusInternalServerError, 1},
+		{"broken off", breakOff, http.StatusBadGateway, 1},
+		{"a promise that is not one", text(http.StatusServiceUnavailable, "busy"), http.StatusBadGateway, 1},
+		{"not its own answer", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(standin.FieldCall, "another") }, http.StatusBadGateway, 1},
+		{"never answered", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, http.StatusGatewayTimeout, 1},
+		{"refused by all", refuse, http.StatusServiceUnavailable, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.upstream(2, tt.first)
+				b.upstream(3, tt.first)
+				a := b.call("/book/1", nil)
+				if a.status != tt.status || b.ran(a) != tt.runs {
+					t.Errorf("status %d after %d sendings, want %d after %d", a.status, b.ran(a), tt.status, tt.runs)
+				}
+			})
+		})
+	}
+}
+
+func TestRefusedElsewhere(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, refuse)
+		b.upstream(3, text(http.StatusOK, "ok"))
+		for range 10 {
+			if a := b.call("/book/1", nil); a.status != http.StatusOK || a.body != "ok" {
+				t.Fatalf("have %d %q: a call that was not run should go to the other upstream", a.status, a.body)
+			}
+		}
+	})
+}
+
+func TestRepeatable(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, breakOff)
+		b.upstream(3, text(http.StatusOK, "ok"))
+		for range 10 {
+			if a := b.call("/look/1", nil); a.status != http.StatusOK || b.ran(a) > 2 {
+				t.Fatalf("have %d after %d runs, want 200 after two at the most", a.status, b.ran(a))
+			}
+		}
+	})
+}
+
+// TestFaultIsDelivered checks that an upstream's own fault reaches the caller if no other
+// upstream gives a better answer.
+func TestFaultIsDelivered(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, text(http.StatusInternalServerError, "bad"))
+		a := b.call("/look/1", nil)
+		if a.status != http.StatusInternalServerError || a.body != "bad" || a.header.Get(standin.FieldSigned) != "2" {
+			t.Errorf("have %d %q signed by %q, want the upstream's own answer", a.status, a.body, a.header.Get(standin.FieldSigned))
+		}
+	})
+}
+
+func ids(body string) (list []string) {
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		if id, isID := strings.CutPrefix(scanner.Text(), "id: "); isID {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+func TestStreamResumes(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, events(1, 3, true))
+		a := func() answer {
+			time.AfterFunc(30*time.Millisecond, func() { b.upstream(3, events(1, 6, false)) })
+			return b.call("/chat/1", nil)
+		}()
+		if have := strings.Join(ids(a.body), " "); a.err != nil || have != "1 2 3 4 5 6" {
+			t.Errorf("have events %s, %v, want 1 to 6 once each", have, a.err)
+		}
+		if a.header.Get(standin.FieldSigned) != "2" {
+			t.Errorf("signed by %s, want the first upstream", a.header.Get(standin.FieldSigned))
+		}
+	})
+}
+
+func TestStreamBreaks(t *testing.T) {
+	for _, path := range []string{"/tale/1", "/chat/1"} {
+		run(t, func(b *bench) {
+			b.upstream(2, events(1, 3, true))
+			a := b.call(path, nil)
+			if a.err == nil {
+				t.Errorf("%s: a stream that broke off ended as though it were whole: %q", path, a.body)
+			}
+			if have := strings.Join(ids(a.body), " "); have != "1 2 3" {
+				t.Errorf("%s: have events %s, want the whole ones", path, have)
+			}
+		})
+	}
+}
+
+// TestCallerLeaves checks that an upstream stops soon after its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	run(t, func(b *bench) {
+		stopped := make(chan time.Time, 1)
+		b.upstream(2, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			stopped <- time.Now()
+		})
+		var left time.Time
+		b.call("/chat/1", func(r *http.Request) {
+			ctx, cancel := context.WithCancel(r.Context())
+			*r = *r.WithContext(ctx)
+			time.AfterFunc(200*time.Millisecond, func() {
+				left = time.Now()
+				cancel()
+			})
+		})
+		if took := (<-stopped).Sub(left); took > 300*time.Millisecond {
+			t.Errorf("the upstream worked on for %s", took)
+		}
+	})
+}
+
+func TestTimeout(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		started := time.Now()
+		a := b.call("/book/1", func(r *http.Request) { r.Header.Set(standin.FieldPatience, "1500") })
+		if took := time.Since(started); a.status != http.StatusGatewayTimeout || took > 1700*time.Millisecond {
+			t.Errorf("have %d after %s, want 504 after 1.5 s", a.status, took)
+		}
+	})
+}
+
+// TestKeys checks who is let in, with and without a proof that the configuration is the
+// newest.
+func TestKeys(t *testing.T) {
+	tests := []struct {
+		name, path, key string
+		age             time.Duration
+		status          int
+		account         string
+	}{
+		{"known", "/look/1", "k1", time.Second, http.StatusOK, "a1"},
+		{"unknown", "/look/1", "k9", time.Second, http.StatusUnauthorized, ""},
+		{"no key", "/look/1", "", time.Second, http.StatusUnauthorized, ""},
+		{"public", "/open/1", "", time.Second, http.StatusOK, ""},
+		{"no route", "/none/1", "k1", time.Second, http.StatusNotFound, ""},
+		{"known, stale", "/look/1", "k1", proofLife, http.StatusServiceUnavailable, ""},
+		{"unknown, stale", "/look/1", "k9", proofLife, http.StatusServiceUnavailable, ""},
+		{"public, stale", "/open/1", "", proofLife, http.StatusOK, ""},
+		{"no route, stale", "/none/1", "k1", proofLife, http.StatusServiceUnavailable, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				account, key := "", ""
+				b.upstream(2, func(w http.ResponseWriter, r *http.Request) {
+					account, key = r.Header.Get(standin.FieldAccount), r.Header.Get(standin.FieldKey)
+					_, _ = io.WriteString(w, "ok")
+				})
+				b.clock = tt.age
+				a := b.call(tt.path, func(r *http.Request) {
+					r.Header.Set(standin.FieldKey, tt.key)
+					r.Header.Set(standin.FieldAccount, "forged")
+				})
+				if a.status != tt.status || account != tt.account || key != "" {
+					t.Errorf("have %d, account %q, key %q passed on; want %d, %q", a.status, account, key, tt.status, tt.account)
+				}
+			})
+		})
+	}
+}
+
+func TestNoConfiguration(t *testing.T) {
+	run(t, func(b *bench) {
+		b.view.Configuration = nil
+		b.update()
+		if a := b.call("/look/1", nil); a.status != http.StatusServiceUnavailable {
+			t.Errorf("have %d, want 503 before the first configuration", a.status)
+		}
+	})
+}
+
+// TestCrashingRequest sends a request that ends each upstream which runs it, again and
+// again, and checks that it is barred and the entries are warned.
+func TestCrashingRequest(t *testing.T) {
+	run(t, func(b *bench) {
+		for n := 2; n < 10; n++ {
+			b.upstream(n, func(w http.ResponseWriter, r *http.Request) {
+				if strings.Contains(r.RequestURI, "crash") {
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(w, "ok")
+			})
+		}
+		total := 0
+		for range 6 {
+			a := b.call("/look/crash", nil)
+			total += b.ran(a)
+			time.Sleep(3 * time.Second)
+		}
+		if total != 3 {
+			t.Errorf("it ended %d upstreams, want 3", total)
+		}
+		if b.warned.Load() != 3 {
+			t.Errorf("%d warnings, want 3", b.warned.Load())
+		}
+		if a := b.call("/look/other", nil); a.status != http.StatusOK {
+			t.Errorf("have %d for another request, want 200", a.status)
+		}
+	})
+}
+
+func TestBodyTooLarge(t *testing.T) {
+	run(t, func(b *bench) {
+		b.view.Configuration.Limits.BodyBytes = 3
+		b.upstream(2, text(http.StatusOK, "ok"))
+		if a := b.call("/look/1", nil); a.status != http.StatusRequestEntityTooLarge || b.ran(a) != 0 {
+			t.Errorf("have %d after %d runs, want 413 and none", a.status, b.ran(a))
+		}
+	})
+}
--- /dev/null
+++ b/internal/request/queuer/queuer_test.go
@@ -0,0 +1,59 @@
+package queuer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
+)
+
+func TestOrder(t *testing.T) {
+	now := time.Unix(100, 0)
+	onTime, late := now.Add(time.Second), now.Add(-time.Second)
+	tests := []struct {
+		name  string
+		items []queuer.Item
+		want  uint64
+	}{
+		{"more urgent first", []queuer.Item{{ID: 1, Rank: queuer.Rank{Route: 1}, OnTime: onTime}, {ID: 2, OnTime: onTime}}, 2},
+		{"earlier first", []queuer.Item{{ID: 1, Arrived: now, OnTime: onTime}, {ID: 2, Arrived: now.Add(-time.Second), OnTime: onTime}}, 2},
+		{"on time before late", []queuer.Item{{ID: 1, OnTime: late}, {ID: 2, Rank: queuer.Rank{Route: 1}, OnTime: onTime}}, 2},
+		{"late chat before a summary", []queuer.Item{{ID: 1, Rank: queuer.Rank{Route: 2}, OnTime: onTime}, {ID: 2, OnTime: late}}, 2},
+		{"account orders one rank", []queuer.Item{{ID: 1, Rank: queuer.Rank{Account: 1}, OnTime: onTime}, {ID: 2, OnTime: onTime}}, 2},
+		{"route before account", []queuer.Item{{ID: 1, Rank: queuer.Rank{Route: 1}, OnTime: onTime}, {ID: 2, Rank: queuer.Rank{Account: 1}, OnTime: onTime}}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := queuer.New()
+			for _, i := range tt.items {
+				q.Add(i)
+			}
+			if have := q.Next(now, func(*queuer.Item) bool { return true }); have == nil || have.ID != tt.want {
+				t.Errorf("have %v, want %d", have, tt.want)
+			}
+		})
+	}
+}
+
+func TestFilterAndRemove(t *testing.T) {
+	q := queuer.New()
+	q.Add(queuer.Item{ID: 1, Service: "a"})
+	if q.Next(time.Now(), func(i *queuer.Item) bool { return i.Service == "b" }) != nil {
+		t.Error("a filtered call must not be returned")
+	}
+	if !q.Remove(1) || q.Remove(1) || q.Len() != 0 {
+		t.Error("a call can be removed once")
+	}
+}
+
+func TestUrgency(t *testing.T) {
+	tests := []struct {
+		rank queuer.Rank
+		want int
+	}{{queuer.Rank{}, 0}, {queuer.Rank{Account: 1}, 1}, {queuer.Rank{Route: 1}, 3}, {queuer.Rank{Route: 2, Account: 9}, 8}, {queuer.Rank{Route: 7}, 9}, {queuer.Rank{Route: -1}, 0}}
+	for _, tt := range tests {
+		if have := tt.rank.Urgency(); have != tt.want {
+			t.Errorf("%+v: have %d, want %d", tt.rank, have, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/installer/installer_test.go
@@ -0,0 +1,89 @@
+package installer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/version/installer"
+)
+
+func TestNext(t *testing.T) {
+	whole := installer.Facts{Wanted: 2, Held: 1, IsWhole: true, Age: 5 * time.Second, Turn: 4 * time.Second}
+	change := func(c func(f *installer.Facts)) installer.Facts {
+		f := whole
+		c(&f)
+		return f
+	}
+	tests := []struct {
+		name  string
+		facts installer.Facts
+		want  installer.Step
+	}{
+		{"nothing named", installer.Facts{}, installer.StepNothing},
+		{"held", change(func(f *installer.Facts) { f.Held = 2 }), installer.StepNothing},
+		{"newer held", change(func(f *installer.Facts) { f.Held = 3 }), installer.StepNothing},
+		{"chunks missing", change(func(f *installer.Facts) { f.IsWhole = false }), installer.StepFetch},
+		{"loading", change(func(f *installer.Facts) { f.IsBusy = true }), installer.StepWait},
+		{"before its turn", change(func(f *installer.Facts) { f.Age = time.Second }), installer.StepWait},
+		{"an empty engine has no turn", change(func(f *installer.Facts) { f.Age, f.Held = time.Second, 0 }), installer.StepStage},
+		{"not staged", whole, installer.StepStage},
+		{"staged", change(func(f *installer.Facts) { f.IsStaged = true }), installer.StepLoad},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if have := installer.Next(tt.facts); have != tt.want {
+				t.Errorf("have %s, want %s", have, tt.want)
+			}
+		})
+	}
+}
+
+// TestTurns checks that the engines of a failure domain follow each other evenly.
+func TestTurns(t *testing.T) {
+	const first, last = 2 * time.Second, 6 * time.Second
+	var domain []string
+	for i := range 9 {
+		domain = append(domain, fmt.Sprint("10.0.0.", i))
+	}
+	seen := make(map[time.Duration]bool)
+	for _, self := range domain {
+		turn := installer.Turn(self, domain, "3", first, last)
+		if turn < first || turn >= last {
+			t.Errorf("%s: turn %s is not between %s and %s", self, turn, first, last)
+		}
+		seen[turn] = true
+	}
+	if len(seen) != len(domain) {
+		t.Errorf("%d different turns, want %d", len(seen), len(domain))
+	}
+}
+
+func TestIsPreviousNext(t *testing.T) {
+	stalled := installer.Progress{Held: 4, Total: 10, Idle: 2 * time.Second}
+	moving := installer.Progress{Held: 4, Total: 10, Idle: 100 * time.Millisecond}
+	whole := installer.Progress{Held: 10, Total: 10, Idle: time.Hour}
+	begun := installer.Progress{Held: 1, Total: 10, Idle: time.Hour}
+	tests := []struct {
+		name             string
+		newest, previous installer.Progress
+		isOnPrevious     bool
+		want             bool
+	}{
+		{"no previous", stalled, installer.Progress{}, false, false},
+		{"the newest moves", moving, stalled, false, false},
+		{"the newest stalls", stalled, moving, false, true},
+		{"too little of the previous", stalled, begun, false, false},
+		{"the previous goes on", stalled, moving, true, true},
+		{"the previous stalls too", stalled, stalled, true, false},
+		{"the previous is whole", stalled, whole, true, false},
+		{"the newest is whole", whole, moving, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if have := installer.IsPreviousNext(tt.newest, tt.previous, tt.isOnPrevious); have != tt.want {
+				t.Errorf("have %t, want %t", have, tt.want)
+			}
+		})
+	}
+}
--- a/standin/network.go
+++ b/standin/network.go
@@ -27,6 +27,7 @@
 type Fabric struct {
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*fabricListener
+	sockets   map[netip.AddrPort]*fabricSocket
 	regions   map[[2]string]*link
 	cuts      map[[2]string]bool
 	healed    chan struct{}
@@ -39,6 +40,7 @@
 func NewFabric(latency time.Duration, regionRate int64) *Fabric {
 	return &Fabric{
 		listeners: make(map[netip.AddrPort]*fabricListener),
+		sockets:   make(map[netip.AddrPort]*fabricSocket),
 		regions:   make(map[[2]string]*link),
 		cuts:      make(map[[2]string]bool),
 		healed:    make(chan struct{}),
@@ -135,6 +137,12 @@
 	}
 	h.fabric.mu.Lock()
 	defer h.fabric.mu.Unlock()
+	for address, s := range h.fabric.sockets {
+		if s.host == h {
+			delete(h.fabric.sockets, address)
+			s.once.Do(func() { close(s.closed) })
+		}
+	}
 	for address, l := range h.fabric.listeners {
 		if l.host == h {
 			delete(h.fabric.listeners, address)
