--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -21,9 +21,9 @@
 
 // Constants of what entries ask each other.
 const (
-	// askAge is the age of the own proof from which on the other entries are asked: a
-	// little over what the store's answers bring.
-	askAge = 2200 * time.Millisecond
+	// askAge is the age of the own proof from which on the other entries are asked, also
+	// if no call has failed yet: the store's answers bring one of 3.6 s at the most.
+	askAge = 3900 * time.Millisecond
 	// askInterval is the time between two rounds of questions.
 	askInterval = 400 * time.Millisecond
 	// askTime bounds one question.
@@ -42,7 +42,7 @@
 	defer close(a.done)
 	for pauser.Sleep(ctx, askInterval) {
 		v := a.d.follower.View()
-		if !v.HasProof || a.d.c.Clock()-v.ConfiguredAt > askAge {
+		if v.IsLost || !v.HasProof || a.d.c.Clock()-v.ConfiguredAt > askAge {
 			a.d.askAll(ctx, askTime)
 		}
 	}
@@ -85,7 +85,7 @@
 // question was sent, so that nothing seems newer than it is.
 func (d *Distributor) ask(ctx context.Context, to netip.AddrPort) error {
 	v := d.follower.View()
-	q := wire.FleetQuestion{Bans: d.bans()}
+	q := wire.FleetQuestion{Bans: d.bans(), ListRevision: v.ListRevision}
 	if v.Configuration != nil {
 		q.Version = v.Configuration.Version
 	}
@@ -108,11 +108,11 @@
 		}
 		heard.Configuration, heard.HasProof, heard.ConfiguredAt = &c, answer.AgeMillis >= 0, at
 	}
-	if answer.Upstreams != "" && answer.ListAgeMillis >= 0 {
+	if answer.Upstreams != "" {
 		if err := json.Unmarshal([]byte(answer.Upstreams), &heard.Upstreams); err != nil {
 			return err
 		}
-		heard.HasList, heard.ListedAt = true, asked-time.Duration(answer.ListAgeMillis)*time.Millisecond
+		heard.ListRevision = answer.ListRevision
 	}
 	if answer.Releases != "" {
 		if err := json.Unmarshal([]byte(answer.Releases), &heard.Releases); err != nil {
@@ -129,7 +129,7 @@
 // vouch answers another entry.
 func (d *Distributor) vouch(_ context.Context, q wire.FleetQuestion) (answer wire.FleetAnswer, err error) {
 	d.hearBans(q.Bans)
-	answer = wire.FleetAnswer{AgeMillis: -1, ListAgeMillis: -1, Bans: d.bans()}
+	answer = wire.FleetAnswer{AgeMillis: -1, Bans: d.bans()}
 	v := d.follower.View()
 	now := d.c.Clock()
 	if v.Configuration == nil {
@@ -144,8 +144,8 @@
 			return answer, err
 		}
 	}
-	if v.HasList {
-		answer.ListAgeMillis = ceilMillis(now - v.ListedAt)
+	if v.ListRevision > q.ListRevision {
+		answer.ListRevision = v.ListRevision
 		if answer.Upstreams, err = encode(v.Upstreams); err != nil {
 			return answer, err
 		}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -63,14 +63,17 @@
 	Configuration *foxtailwharf.Configuration // nil before the first
 	Upstreams     []foxtailwharf.Upstream     // by ID
 	Releases      []foxtailwharf.Release
-	// ConfiguredAt and ListedAt are the moments, by the clock, for which the
-	// configuration and the list were surely the newest. They count where HasProof and
-	// HasList are set.
+	// ConfiguredAt is the moment, by the clock, for which the configuration was surely the
+	// newest. It counts where HasProof is set.
 	ConfiguredAt time.Duration
-	ListedAt     time.Duration
 	HasProof     bool
-	HasList      bool
-	HasReleases  bool // the releases have been read
+	// ListRevision is the store's revision up to which Upstreams is complete; 0 before the
+	// first list. Two lists are told apart by it and not by their ages: a watch that has
+	// just been sent knows less than one that has just been answered.
+	ListRevision uint64
+	// IsLost says that the store does not tell this process of configurations.
+	IsLost      bool
+	HasReleases bool // the releases have been read
 }
 
 // Follower keeps the view.
@@ -198,6 +201,17 @@
 		s.f.c.Log.Warn("store: It is out of reach.", zap.String("Subject", string(s.name)), zap.Error(err))
 	}
 	s.isLost = true
+	s.setLost(true)
+}
+
+// setLost notes whether the store tells of configurations.
+func (s *subject) setLost(isLost bool) {
+	if s.name != foxtailwharf.SubjectConfiguration {
+		return
+	}
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	s.f.view.IsLost = isLost
 }
 
 // answered notes an answer, which may end an outage.
@@ -208,6 +222,7 @@
 		s.f.back(s.name, now, now-s.heard > outage)
 	}
 	s.isLost = false
+	s.setLost(false)
 	s.heard = now
 }
 
@@ -234,7 +249,7 @@
 		f.takeConfiguration(p.Configuration, asked)
 	case foxtailwharf.SubjectUpstreams:
 		f.takeUpstreams(p, isWhole)
-		f.view.ListedAt, f.view.HasList = asked, true
+		f.view.ListRevision = p.Revision
 	case foxtailwharf.SubjectReleases:
 		f.takeReleases(p.Releases)
 		f.view.HasReleases = true
@@ -343,9 +358,9 @@
 	if v.HasProof && v.Configuration != nil {
 		f.takeConfiguration(v.Configuration, v.ConfiguredAt)
 	}
-	if v.HasList && (!f.view.HasList || v.ListedAt > f.view.ListedAt) {
+	if v.ListRevision > f.view.ListRevision {
 		f.takeUpstreams(foxtailwharf.FleetPage{Upstreams: v.Upstreams}, true)
-		f.view.ListedAt, f.view.HasList = v.ListedAt, true
+		f.view.ListRevision = v.ListRevision
 	}
 	f.takeReleases(v.Releases)
 	f.publish()
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -180,3 +180,24 @@
 		}
 	})
 }
+
+// TestOlderListIsNotTaken plays another entry whose list was asked for later but knows
+// less: an upstream that has gone must not come back by it.
+func TestOlderListIsNotTaken(t *testing.T) {
+	run(t, func(b *bench) {
+		b.store.List(foxtailwharf.Upstream{ID: "u1"})
+		time.Sleep(time.Second)
+		other := b.follower.View()
+		b.store.Unlist("u1")
+		time.Sleep(time.Second)
+		b.follower.Hear(other)
+		if have := b.ids(); len(have) != 0 {
+			t.Errorf("have %v, want none", have)
+		}
+		other.ListRevision = b.follower.View().ListRevision + 1
+		b.follower.Hear(other)
+		if have := b.ids(); len(have) != 1 {
+			t.Errorf("have %v, want the newer list's upstream", have)
+		}
+	})
+}
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -86,7 +86,7 @@
 		Log:       zap.NewNop(),
 	})
 	b.client = &http.Client{Transport: dialer.Transport(b.network, false)}
-	b.view = follower.View{HasProof: true, HasList: true, Configuration: &foxtailwharf.Configuration{
+	b.view = follower.View{HasProof: true, Configuration: &foxtailwharf.Configuration{
 		Version: 1,
 		Routes: []foxtailwharf.CallRoute{
 			route("/chat/", foxtailwharf.CallStream, func(r *foxtailwharf.CallRoute) { r.IsResumable = true }),
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -236,13 +236,13 @@
 	// the configuration as JSON, where the asking entry has an older one
 	Configuration string `json:"Configuration,omitempty,omitzero"`
 
-	// time since that list was surely the newest; negative for never
-	ListAgeMillis int64 `json:"ListAgeMillis,omitempty,omitzero"`
+	// of the store, up to which Upstreams is complete
+	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
 
 	// the releases as JSON
 	Releases string `json:"Releases,omitempty,omitzero"`
 
-	// the list of upstreams as JSON
+	// the list of upstreams as JSON, where the asking entry's is older
 	Upstreams string `json:"Upstreams,omitempty,omitzero"`
 
 	// of the newest configuration known; 0 for none
@@ -297,6 +297,10 @@
 	// what is held against requests that crash upstreams
 	Bans []Quarantine `json:"Bans,omitempty,omitzero"`
 
+	// of the store, up to which the asking entry's list of upstreams is complete; 0
+	// for none
+	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
+
 	// of the configuration that the asking entry has; 0 for none
 	Version int64 `json:"Version"`
 }
