--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -34,6 +34,9 @@
 	uploadPart = 0.88
 	// uploads is the number of chunks that are uploaded at a time.
 	uploads = 4
+	// downloads is the number of chunks that are fetched at a time: more would queue on a
+	// narrow link before the engine's calls.
+	downloads = 6
 	// neighbours is the number of agents with which chunks are exchanged.
 	neighbours = 16
 	// patience, sponsorWait and stall are the times of the fetcher, for chunks that take
@@ -131,6 +134,7 @@
 		Policy:       foxtailwharf.FetchSwarm,
 		OriginRegion: p.region,
 		Neighbours:   neighbours,
+		Downloads:    downloads,
 		Patience:     patience,
 		Wait:         sponsorWait,
 		Stall:        stall,
--- a/internal/version/fetcher/fetcher.go
+++ b/internal/version/fetcher/fetcher.go
@@ -28,8 +28,8 @@
 
 // Constants of fetching.
 const (
-	// downloads is the number of chunks fetched at a time.
-	downloads = 12
+	// defaultDownloads is the number of chunks fetched at a time.
+	defaultDownloads = 12
 	// pressedDownloads is that number while requests are slow.
 	pressedDownloads = 1
 	// tick is the longest time between two looks at what could be fetched.
@@ -57,12 +57,14 @@
 	// OriginRegion returns where the origin stands; nil where it is not known.
 	OriginRegion func() string
 	Neighbours   int
-	Patience     time.Duration // time without progress after which the next sponsor takes over
-	Wait         time.Duration // time for which a sponsor is asked to hold a request
-	Stall        time.Duration // time without a byte after which a download is given up
-	IsPressed    func() bool
-	Random       *rand.Rand
-	Log          *zap.Logger
+	// Downloads is the number of chunks fetched at a time; 0 for the default.
+	Downloads int
+	Patience  time.Duration // time without progress after which the next sponsor takes over
+	Wait      time.Duration // time for which a sponsor is asked to hold a request
+	Stall     time.Duration // time without a byte after which a download is given up
+	IsPressed func() bool
+	Random    *rand.Rand
+	Log       *zap.Logger
 }
 
 // Fetcher fetches one version at a time.
@@ -79,6 +81,9 @@
 
 // New returns a fetcher that wants nothing.
 func New(c Config) *Fetcher {
+	if c.Downloads == 0 {
+		c.Downloads = defaultDownloads
+	}
 	return &Fetcher{c: c, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
--- a/internal/version/fetcher/session.go
+++ b/internal/version/fetcher/session.go
@@ -62,7 +62,7 @@
 		version:  version,
 		manifest: manifest,
 		cancel:   cancel,
-		finished: make(chan result, downloads),
+		finished: make(chan result, f.c.Downloads),
 		heard:    make(chan struct{}, 1),
 		ended:    make(chan struct{}),
 		tellers:  make(map[string]*teller),
@@ -142,7 +142,7 @@
 
 // start begins as many downloads as may run.
 func (s *session) start(ctx context.Context) {
-	limit := downloads
+	limit := s.f.c.Downloads
 	if s.f.c.IsPressed() {
 		limit = pressedDownloads
 	}
