--- a/cmd/foxtailwharf/load.go
+++ b/cmd/foxtailwharf/load.go
@@ -16,7 +16,7 @@
 
 type loadCommand struct {
 	URL     string `arg:"" help:"URL of an entry on loopback, such as http://127.0.0.1:8470."`
-	Profile string `arg:"" type:"existingfile" help:"What to send, a YAML file; see docs/OPERATORS.md."`
+	Profile string `arg:"" type:"existingfile" help:"What to send, a YAML file; see docs/OPERATIONS.md."`
 	JSON    bool   `name:"json" help:"Print JSON instead of a table."`
 	Seed    uint64 `default:"1" help:"Seed of the random times."`
 }
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -20,6 +19,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/exchanger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
@@ -74,7 +74,7 @@
 	notifier  *notifier.Notifier
 	messages  *messenger.Server
 	client    *messenger.Client
-	servers   []*server
+	servers   []*server.Server
 	duties    []duty
 	cancel    context.CancelFunc
 	isLeaving atomic.Bool
@@ -95,21 +95,6 @@
 	ended() <-chan struct{}
 }
 
-// server serves one listener.
-type server struct {
-	http     *http.Server
-	listener net.Listener
-	log      *zap.Logger
-	done     chan struct{}
-}
-
-func (s *server) run() {
-	defer close(s.done)
-	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		s.log.Error("entry: A server ended.", zap.Error(err))
-	}
-}
-
 // New builds an entry that has not started.
 func New(c Config) *Distributor {
 	d := &Distributor{
@@ -199,14 +184,8 @@
 	if err != nil {
 		return err
 	}
-	s := &server{
-		http:     &http.Server{Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: headBytes, ErrorLog: zap.NewStdLog(d.c.Log)},
-		listener: listener,
-		log:      d.c.Log,
-		done:     make(chan struct{}),
-	}
-	d.servers = append(d.servers, s)
-	go s.run()
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: headBytes, ErrorLog: zap.NewStdLog(d.c.Log)}
+	d.servers = append(d.servers, server.Start(listener, h, d.c.Log))
 	return nil
 }
 
@@ -265,11 +244,9 @@
 	pauser.Sleep(ctx, noticeTime)
 	var err error
 	for i := len(d.servers) - 1; i >= 0; i-- {
-		if shutErr := d.servers[i].http.Shutdown(ctx); shutErr != nil && err == nil {
+		if shutErr := d.servers[i].Shutdown(ctx); shutErr != nil && err == nil {
 			err = errors.Wrap(shutErr, "Distributor.Stop")
-			_ = d.servers[i].http.Close()
 		}
-		<-d.servers[i].done
 	}
 	d.cancel()
 	d.messages.Close()
--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -170,25 +170,12 @@
 	d.askAll(ctx, warnTime)
 }
 
-func (d *Distributor) bans() (bans []wire.Quarantine) {
-	for _, ban := range d.forwarder.Bans() {
-		bans = append(bans, wire.Quarantine{
-			Digest:          ban.Digest,
-			Upstreams:       ban.Upstreams,
-			AgeMillis:       ban.Age.Milliseconds(),
-			RemainingMillis: ban.Remaining.Milliseconds(),
-		})
-	}
-	return bans
+func (d *Distributor) bans() []wire.Quarantine {
+	return quarantiner.ToWire(d.forwarder.Bans())
 }
 
 func (d *Distributor) hearBans(bans []wire.Quarantine) {
-	for _, ban := range bans {
-		d.forwarder.HearBan(quarantiner.Ban{
-			Digest:    ban.Digest,
-			Upstreams: ban.Upstreams,
-			Age:       time.Duration(ban.AgeMillis) * time.Millisecond,
-			Remaining: time.Duration(ban.RemainingMillis) * time.Millisecond,
-		})
+	for _, ban := range quarantiner.FromWire(bans) {
+		d.forwarder.HearBan(ban)
 	}
 }
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -20,6 +19,7 @@
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/fetcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
@@ -79,8 +79,7 @@
 	http      *http.Client
 	notifier  *notifier.Notifier
 	recorder  *recorder.Recorder
-	server    *http.Server
-	served    chan struct{}
+	server    *server.Server
 	reporter  *reporter
 	installer *install
 	cancel    context.CancelFunc
@@ -118,7 +117,6 @@
 		client:   messenger.NewClient(c.Network),
 		http:     sourcer.Client(c.Network),
 		recorder: recorder.New(),
-		served:   make(chan struct{}),
 		entries:  make(map[netip.AddrPort]entry),
 		digests:  make(map[foxtailwharf.Release]string),
 	}
@@ -191,8 +189,8 @@
 		_ = socket.Close()
 		return errors.Wrap(err, "Provisioner.Start")
 	}
-	p.server = &http.Server{Handler: p.mux(), ReadHeaderTimeout: stall, ErrorLog: zap.NewStdLog(p.c.Log)}
-	go p.run(listener)
+	h := &http.Server{Handler: p.mux(), ReadHeaderTimeout: stall, ErrorLog: zap.NewStdLog(p.c.Log)}
+	p.server = server.Start(listener, h, p.c.Log)
 	p.notifier.Start()
 	p.fetcher.Start(ctx)
 	go p.reporter.run(ctx)
@@ -201,14 +199,6 @@
 	return nil
 }
 
-// run serves the other agents.
-func (p *Provisioner) run(listener net.Listener) {
-	defer close(p.served)
-	if err := p.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		p.c.Log.Error("agent: The server ended.", zap.Error(err))
-	}
-}
-
 func (p *Provisioner) mux() http.Handler {
 	p.fetcher.Register(p.messages)
 	mux := http.NewServeMux()
@@ -253,7 +243,6 @@
 	p.c.Log.Info("agent: Stopping.")
 	p.cancel()
 	err := p.server.Shutdown(ctx)
-	<-p.served
 	p.messages.Close()
 	p.client.Close()
 	p.notifier.Close()
--- a/internal/process/receiver/ledger.go
+++ b/internal/process/receiver/ledger.go
@@ -37,26 +37,13 @@
 }
 
 // Bans returns what is held against requests.
-func (l *ledger) Bans() (bans []wire.Quarantine) {
-	for _, ban := range l.r.relayer.Bans() {
-		bans = append(bans, wire.Quarantine{
-			Digest:          ban.Digest,
-			Upstreams:       ban.Upstreams,
-			AgeMillis:       ban.Age.Milliseconds(),
-			RemainingMillis: ban.Remaining.Milliseconds(),
-		})
-	}
-	return bans
+func (l *ledger) Bans() []wire.Quarantine {
+	return quarantiner.ToWire(l.r.relayer.Bans())
 }
 
 // HearBans takes in what another entry holds against requests.
 func (l *ledger) HearBans(bans []wire.Quarantine) {
-	for _, ban := range bans {
-		l.r.relayer.HearBan(quarantiner.Ban{
-			Digest:    ban.Digest,
-			Upstreams: ban.Upstreams,
-			Age:       time.Duration(ban.AgeMillis) * time.Millisecond,
-			Remaining: time.Duration(ban.RemainingMillis) * time.Millisecond,
-		})
+	for _, ban := range quarantiner.FromWire(bans) {
+		l.r.relayer.HearBan(ban)
 	}
 }
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -18,6 +18,7 @@
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/gossiper"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/keeper"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
@@ -66,7 +67,7 @@
 	client    *messenger.Client
 	messages  *messenger.Server
 	recorder  *recorder.Recorder
-	servers   []*httpServer
+	servers   []*server.Server
 	cancel    context.CancelFunc
 	tidied    chan struct{}
 	isLeaving atomic.Bool
@@ -76,21 +77,6 @@
 	admitter *admitter.Admitter
 }
 
-// httpServer serves one listener.
-type httpServer struct {
-	server   *http.Server
-	listener net.Listener
-	log      *zap.Logger
-	done     chan struct{}
-}
-
-func (s *httpServer) run() {
-	defer close(s.done)
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		s.log.Error("entry: A server ended.", zap.Error(err))
-	}
-}
-
 // New builds an entry that has not started.
 func New(c Config) *Receiver {
 	s := c.Settings
@@ -194,9 +180,7 @@
 }
 
 func (r *Receiver) serve(listener net.Listener, handler http.Handler) {
-	s := &httpServer{server: dialer.Server(handler), listener: listener, log: r.c.Log, done: make(chan struct{})}
-	r.servers = append(r.servers, s)
-	go s.run()
+	r.servers = append(r.servers, server.Start(listener, dialer.Server(handler), r.c.Log))
 }
 
 // tidier keeps the entry's memory bounded.
@@ -281,7 +265,7 @@
 	r.gossiper.Update(func(self *foxtailwharf.Instance) { self.IsLeaving = true })
 	r.gossiper.Announce(ctx)
 	pauser.Sleep(ctx, r.c.Settings.Notice)
-	err := r.servers[0].server.Shutdown(ctx)
+	err := r.servers[0].Shutdown(ctx)
 	r.Close()
 	return errors.Wrap(err, "Receiver.Stop")
 }
@@ -290,13 +274,10 @@
 func (r *Receiver) Close() {
 	r.cancel()
 	for _, s := range r.servers {
-		_ = s.server.Close()
+		s.Close()
 	}
 	r.messages.Close()
 	r.client.Close()
-	for _, s := range r.servers {
-		<-s.done
-	}
 	<-r.gossiper.Done()
 	<-r.watcher.Done()
 	<-r.tidied
