--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -30,7 +30,7 @@
 	releaseWait = 10 * time.Second
 	// listPause is the pause between two changes of the list, so that many changes at
 	// once cost one call.
-	listPause = 700 * time.Millisecond
+	listPause = 900 * time.Millisecond
 	// releasePause is the same for releases, which are rare and urgent.
 	releasePause = 100 * time.Millisecond
 	// configurationPause is the same for configurations.
