--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -23,7 +23,7 @@
 	// and the last engine of a failure domain load: the chunks take a part of it, and in
 	// the rest an engine finishes what it runs.
 	firstTurn = 0.35
-	lastTurn  = 0.85
+	lastTurn  = 0.9
 	// replacedTurn stands in for both where a newer release is on its way, which would make
 	// the load needless.
 	replacedTurn = 0.9
@@ -60,6 +60,8 @@
 	failed     time.Time // when its manifest or chunks were last not to be had
 	held       int       // at the last look
 	advanced   time.Time
+	// wholeAge is the age of the release at which all its chunks were there; 0 before.
+	wholeAge time.Duration
 }
 
 func (i *install) run(ctx context.Context) {
@@ -193,7 +195,11 @@
 // isWhole reports whether all chunks of a release are there.
 func (i *install) isWhole(b *bundle) bool {
 	p := i.progress(b)
-	return p.Total > 0 && p.Held == p.Total
+	isWhole := p.Total > 0 && p.Held == p.Total
+	if isWhole && b.wholeAge == 0 {
+		b.wholeAge = time.Since(b.named)
+	}
+	return isWhole
 }
 
 // target returns the release to load: the newest, or the one before it while the newest
@@ -239,13 +245,16 @@
 	return turn
 }
 
-// place returns this engine's place between two parts of the time for the switch.
+// place returns this engine's place between two parts of the time for the switch. Chunks
+// that came late leave less time, over which the engines still follow each other.
 func (i *install) place(b *bundle, first, last float64) time.Duration {
 	limit := float64(i.p.c.Settings.Switch)
 	version := strconv.FormatInt(b.release.Version, 10)
 	i.p.mu.Lock()
 	defer i.p.mu.Unlock()
-	return installer.Turn(i.p.c.Settings.Address.String(), i.p.domain, version, time.Duration(limit*first), time.Duration(limit*last))
+	begin := max(time.Duration(limit*first), b.wholeAge)
+	end := max(time.Duration(limit*last), begin)
+	return installer.Turn(i.p.c.Settings.Address.String(), i.p.domain, version, begin, end)
 }
 
 // setLoading tells the entries at once whether the engine takes calls.
