Commands for a person log on standard error, daemons on standard output

Cause: the log had moved to standard output for all commands; the tests of real processes wait for its lines on standard error and hung, and demo mixed log lines with what it prints.

--- a/cmd/foxtailwharf/main.go
+++ b/cmd/foxtailwharf/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -42,8 +43,20 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	parser.BindTo(ctx, (*context.Context)(nil))
-	log := logger.New(logger.Config{Out: os.Stdout, IsVerbose: c.Verbose})
+	log := logger.New(logger.Config{Out: logStream(parser.Command()), IsVerbose: c.Verbose})
 	err := parser.Run(log.Logger)
 	log.Close()
 	parser.FatalIfErrorf(err)
 }
+
+// logStream returns where a command logs: daemons on standard output, as the operators ask,
+// and commands for a person on standard error, beside what they print.
+func logStream(command string) *os.File {
+	name, _, _ := strings.Cut(command, " ")
+	switch name {
+	case "entry", "agent", "fleet":
+		return os.Stdout
+	default:
+		return os.Stderr
+	}
+}
--- a/cmd/foxtailwharf/process_test.go
+++ b/cmd/foxtailwharf/process_test.go
@@ -64,7 +64,7 @@
 		t.Fatal(err)
 	}
 	p := &process{t: t, name: name, command: exec.Command(binary, role, file), ended: make(chan error, 1)}
-	pipe, err := p.command.StderrPipe()
+	pipe, err := p.command.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
