--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -311,11 +311,16 @@
 	NotRun                  // the upstream had no room
 	Moved                   // another upstream, or other weights, are at the address
 	Abandoned               // the caller left, or the call's time ended
+	Silent                  // nothing came in a time in which it should have
 )
 
 // fullTime is how long an upstream that had no room is passed over.
 const fullTime = 30 * time.Millisecond
 
+// silentTime is how long an upstream that said nothing is passed over: its link is narrow
+// or it is gone, and calls that queue towards it would arrive after their callers left.
+const silentTime = 1500 * time.Millisecond
+
 // movedTime is how long an upstream that turned out to be another is passed over.
 const movedTime = 300 * time.Millisecond
 
@@ -334,6 +339,9 @@
 		u.fail(now)
 	case NotRun:
 		u.notRunUntil = now.Add(fullTime)
+	case Silent:
+		u.faults = faultsToEject
+		u.ejectedUntil = now.Add(silentTime)
 	case Moved:
 		u.ejectedUntil = now.Add(movedTime)
 	case Abandoned:
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -186,3 +186,19 @@
 		t.Error("an old report proves nothing")
 	}
 }
+
+// TestSilentIsLeftOut plays an upstream behind a link so slow that a call got no first
+// byte: others go elsewhere at once, not only after several more have waited as long.
+func TestSilentIsLeftOut(t *testing.T) {
+	b := newBalancer(listed(1, "near", 1), listed(2, "far", 1), listed(3, "far", 1))
+	b.Sent("u1")
+	b.Finished(start, "u1", balancer.Silent)
+	for range 20 {
+		if u, _, _ := b.Pick(start.Add(time.Second), model); u.ID == "u1" {
+			t.Fatal("an upstream that said nothing should be left out")
+		}
+	}
+	if u, _, _ := b.Pick(start.Add(3*time.Second), model); u.ID != "u1" {
+		t.Errorf("have %s: it should be tried again after the pause", u.ID)
+	}
+}
--- a/internal/request/forwarder/try.go
+++ b/internal/request/forwarder/try.go
@@ -153,6 +153,9 @@
 	if isEnded {
 		t.x.f.died(context.WithoutCancel(ctx), t.upstream, t.x.digest)
 	}
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return unknown, balancer.Silent
+	}
 	if errors.Is(context.Cause(ctx), errDue) {
 		return unknown, balancer.Abandoned
 	}
