--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -19,9 +19,9 @@
 	lookInterval = 100 * time.Millisecond
 	// lookTime is how long the engine may take to say its state before it counts as down.
 	lookTime = 400 * time.Millisecond
-	// reportInterval is the longest time between two reports to entries of the own failure
-	// domain, and the time between two to others, which send here only what does not fit
-	// elsewhere.
+	// reportInterval is the longest time between two reports to an entry of the own failure
+	// domain, and the usual time between two to the others, which send calls here only when
+	// their own engines are full.
 	reportInterval = 300 * time.Millisecond
 	// seedInterval is the time between two questions to the seeds while no entry has sent a
 	// notice.
