Code that nothing used taken out of queue, assigner and balancer

Cause: a last reading of the change: Queuer.Ahead, Assigner.Waiting and Want.IsUnbounded had no caller (IsUnbounded was never set). No change of behaviour; no test touched. Checked: vet, and the tests of request/, standin/listing and platform.

--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -75,13 +75,6 @@
 	return a.balancer.DueAt(time.Now(), u.ID)
 }
 
-// Waiting returns the number of calls that wait.
-func (a *Assigner) Waiting() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.queue.Len()
-}
-
 // Acquire returns an upstream for a call, which then counts as sent to it. It returns a
 // refusal if the call should not wait any longer.
 func (a *Assigner) Acquire(ctx context.Context, ask Ask) (foxtailwharf.Upstream, *foxtailwharf.Refusal) {
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -61,8 +61,6 @@
 	Weights int64
 	// Room is how many calls more than its slots, or less, an upstream may hold.
 	Room float64
-	// IsUnbounded says that the call goes even to a full upstream.
-	IsUnbounded bool
 }
 
 // Balancer holds what one entry knows of the upstreams.
@@ -257,7 +255,7 @@
 	bestCost := 0.0
 	for _, u := range candidates {
 		occupied := u.occupied(now)
-		if !w.IsUnbounded && !b.hasRoom(u, now, w) {
+		if !b.hasRoom(u, now, w) {
 			continue
 		}
 		cost := occupied + b.c.Random.Float64()
--- a/internal/request/queuer/queuer.go
+++ b/internal/request/queuer/queuer.go
@@ -101,14 +101,3 @@
 	}
 	return best
 }
-
-// Ahead returns how many waiting calls of the service go before an item.
-func (q *Queuer) Ahead(now time.Time, item Item) (count int) {
-	own := item.worth(now)
-	for _, i := range q.items {
-		if i.Service == item.Service && i.worth(now) >= own {
-			count++
-		}
-	}
-	return count
-}
