--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -19,6 +19,9 @@
 	stepInterval = 50 * time.Millisecond
 	// failurePause is the pause after a step that failed.
 	failurePause = 400 * time.Millisecond
+	// preparePause is the pause after a manifest was not to be had, most often because the
+	// agents that read it from the origin are still at it.
+	preparePause = 120 * time.Millisecond
 	// firstTurn and lastTurn are the parts of the time for the switch at which the first
 	// and the last engine of a failure domain load: the chunks take a part of it, and in
 	// the rest an engine finishes what it runs.
@@ -53,11 +56,13 @@
 type bundle struct {
 	release    foxtailwharf.Release
 	named      time.Time
-	digest     string // of the manifest; empty before it is there
+	wanted     time.Time // when this agent heard of it
+	digest     string    // of the manifest; empty before it is there
 	chunks     []foxtailwharf.Chunk
 	isSearched bool // the chunks that lie beside the engine were looked through
 	checked    time.Time
 	failed     time.Time // when its manifest or chunks were last not to be had
+	isStuck    bool      // they were not to be had at the last try
 	held       int       // at the last look
 	advanced   time.Time
 	// wholeAge is the age of the release at which all its chunks were there; 0 before.
@@ -103,7 +108,7 @@
 // While that fails the release before it may still be completed and loaded.
 func (i *install) prepare(ctx context.Context, isUp bool) {
 	b := i.newest
-	if time.Since(b.failed) < failurePause {
+	if time.Since(b.failed) < preparePause {
 		return
 	}
 	var err error
@@ -115,8 +120,11 @@
 	}
 	if err != nil && ctx.Err() == nil {
 		b.failed = time.Now()
-		i.p.c.Log.Warn("agent: A release cannot be prepared.", zap.Int64("Version", b.release.Version), zap.Error(err))
+		if !b.isStuck {
+			i.p.c.Log.Warn("agent: A release cannot be prepared yet.", zap.Int64("Version", b.release.Version), zap.Error(err))
+		}
 	}
+	b.isStuck = err != nil
 }
 
 // hear takes in the release that is wanted.
@@ -129,7 +137,8 @@
 	if i.newest != nil && i.newest.digest != "" && load.Weights < i.newest.release.Version {
 		i.previous = i.newest
 	}
-	i.newest = &bundle{release: n.release, named: n.named, advanced: time.Now()}
+	now := time.Now()
+	i.newest = &bundle{release: n.release, named: n.named, wanted: now, advanced: now}
 	i.isOnPrevious = false
 }
 
--- a/internal/process/provisioner/manifests.go
+++ b/internal/process/provisioner/manifests.go
@@ -13,27 +13,29 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/installer"
 )
 
 // Constants of manifests.
 const (
-	// manifestPeers is the number of agents asked where the origin gives no manifest.
+	// manifestPeers is the number of agents asked for a manifest in one try.
 	manifestPeers = 3
 	// manifestTime bounds the reading of a manifest.
 	manifestTime = time.Second
 	// maxManifestBytes bounds a manifest.
 	maxManifestBytes = 1 << 20
+	// readersTime is how long the agents that read a manifest from the origin are given
+	// before all others ask it too: one of them may be gone.
+	readersTime = 800 * time.Millisecond
 )
 
 // readManifest reads a release's manifest, from the origin or another agent.
 func (i *install) readManifest(ctx context.Context, b *bundle) error {
 	ctx, cancel := context.WithTimeout(ctx, manifestTime)
 	defer cancel()
-	text, err := i.p.c.Origin.ReleaseManifest(ctx, b.release)
+	text, err := i.findManifest(ctx, b)
 	if err != nil {
-		if text, err = i.manifestFromPeers(ctx, b.release); err != nil {
-			return err
-		}
+		return err
 	}
 	digest := foxtailwharf.Digest(text)
 	manifest, err := i.p.holder.AddManifest(digest, text)
@@ -49,9 +51,40 @@
 	return nil
 }
 
-// manifestFromPeers asks a few agents for a manifest.
-func (i *install) manifestFromPeers(ctx context.Context, release foxtailwharf.Release) ([]byte, error) {
-	agents := slices.Clone(i.p.holders())
+// findManifest asks the origin if that is this agent's part or the others had time enough,
+// and agents otherwise.
+func (i *install) findManifest(ctx context.Context, b *bundle) (text []byte, err error) {
+	readers, isReader := i.originReaders(b.release)
+	if isReader || time.Since(b.wanted) > readersTime {
+		if text, err = i.p.c.Origin.ReleaseManifest(ctx, b.release); err == nil {
+			return text, nil
+		}
+		readers = i.p.holders()
+	}
+	return i.manifestFromPeers(ctx, readers, b.release)
+}
+
+// originReaders returns the agents that read a manifest from the origin, and whether this
+// one does. It does while it knows no others.
+func (i *install) originReaders(release foxtailwharf.Release) (readers []foxtailwharf.Instance, isReader bool) {
+	holders := i.p.holders()
+	byName := make(map[string]foxtailwharf.Instance, len(holders))
+	names := make([]string, 0, len(holders))
+	for _, a := range holders {
+		byName[a.Name] = a
+		names = append(names, a.Name)
+	}
+	self := i.p.self().Name
+	for _, name := range installer.OriginReaders(names, strconv.FormatInt(release.Version, 10)) {
+		isReader = isReader || name == self
+		readers = append(readers, byName[name])
+	}
+	return readers, isReader || len(readers) == 0
+}
+
+// manifestFromPeers asks a few of the agents for a manifest.
+func (i *install) manifestFromPeers(ctx context.Context, agents []foxtailwharf.Instance, release foxtailwharf.Release) ([]byte, error) {
+	agents = slices.Clone(agents)
 	rand.Shuffle(len(agents), func(a, b int) { agents[a], agents[b] = agents[b], agents[a] })
 	err := errors.New("install.manifestFromPeers: no agent to ask")
 	for _, a := range agents[:min(manifestPeers, len(agents))] {
--- a/internal/version/installer/installer.go
+++ b/internal/version/installer/installer.go
@@ -6,6 +6,8 @@
 package installer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -104,3 +106,17 @@
 		return newest.IsStalled() && float64(previous.Held) >= startedPart*float64(previous.Total)
 	}
 }
+
+// originReaders is the number of agents that read a release's manifest from the origin, which
+// takes few connections at a time.
+const originReaders = 6
+
+// OriginReaders returns the agents that read a release's manifest from the origin; the others
+// ask these. The choice is the same for all processes with the same list.
+func OriginReaders(agents []string, version string) []string {
+	ranked := slices.Clone(agents)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Compare(foxtailwharf.Score(version, b), foxtailwharf.Score(version, a))
+	})
+	return ranked[:min(originReaders, len(ranked))]
+}
--- a/internal/version/installer/installer_test.go
+++ b/internal/version/installer/installer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,3 +88,26 @@
 		})
 	}
 }
+
+// TestOriginReaders checks that few agents ask the origin, that all processes agree on them
+// whatever the order of their lists, and that they change with the version.
+func TestOriginReaders(t *testing.T) {
+	var agents []string
+	for i := range 99 {
+		agents = append(agents, fmt.Sprint("10.0.0.", i))
+	}
+	readers := installer.OriginReaders(agents, "2")
+	if len(readers) == 0 || len(readers) > 12 {
+		t.Errorf("%d agents read from the origin, want a few", len(readers))
+	}
+	slices.Reverse(agents)
+	if again := installer.OriginReaders(agents, "2"); !slices.Equal(readers, again) {
+		t.Errorf("have %v for another order of the list, want %v", again, readers)
+	}
+	if other := installer.OriginReaders(agents, "3"); slices.Equal(readers, other) {
+		t.Error("the same agents read every version")
+	}
+	if few := installer.OriginReaders(agents[:2], "2"); len(few) != 2 {
+		t.Errorf("%d of two agents read from the origin, want both", len(few))
+	}
+}
--- a/standin/listing/listing.go
+++ b/standin/listing/listing.go
@@ -287,9 +287,17 @@
 	mu      sync.Mutex
 	digests map[string][]byte
 	sent    int64
+	asked   int // times for a manifest
 	isDown  bool
 }
 
+// Asked returns how often a manifest was asked for.
+func (o *Origin) Asked() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.asked
+}
+
 // SetDown makes the origin fail, or answer again.
 func (o *Origin) SetDown(isDown bool) {
 	o.mu.Lock()
@@ -323,6 +331,7 @@
 	if o.isDown {
 		return nil, errors.New("the origin is down")
 	}
+	o.asked++
 	return json.Marshal(standin.TestManifest(release.Version))
 }
 
