Entries ask three others and fetch documents from one; deaths are told in batches

Each entry that the store turned away asked all 43 others every 0.4 s, and each of them sent the whole list and configuration; each broken connection made an entry send all suspects to all others and hear all of theirs.

--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -81,6 +81,7 @@
 	news      chan struct{} // holds one: agents should be told soon
 
 	mu    sync.Mutex
+	peers *rand.Rand         // draws the entries to ask
 	named map[string][]named // by model, the newest last
 	// hasReleases says that the store's releases were read once.
 	hasReleases bool
@@ -107,6 +108,7 @@
 		news:     make(chan struct{}, 1),
 		entries:  make(map[netip.AddrPort]time.Time),
 	}
+	d.peers = d.random("peers")
 	d.assigner = assigner.New(balancer.New(balancer.Config{FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer")}))
 	d.exchanger = exchanger.New(exchanger.Config{Network: c.Network})
 	d.forwarder = forwarder.New(forwarder.Config{
@@ -129,6 +131,13 @@
 	return rand.New(rand.NewPCG(d.c.Seed, foxtailwharf.Score(d.c.Settings.Name, purpose)))
 }
 
+// shuffle puts entries in random order.
+func (d *Distributor) shuffle(entries []netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+}
+
 // Constants of the budget of repeats, which all entries share.
 const (
 	// repeatPart is the part of the allowed repeats that entries use.
@@ -152,6 +161,7 @@
 	}
 	d.notifier = notifier.New(notifier.Config{Socket: socket, Heard: d.hearReport, Log: d.c.Log})
 	messenger.Register(d.messages, methodVouch, d.vouch)
+	messenger.Register(d.messages, methodWarn, d.hearWarning)
 	listeners := []struct {
 		address netip.AddrPort
 		handler http.Handler
@@ -171,6 +181,7 @@
 		&tidier{d: d, done: make(chan struct{})},
 		&caller{d: d, done: make(chan struct{})},
 		&asker{d: d, done: make(chan struct{})},
+		&warner{d: d, done: make(chan struct{})},
 	}
 	for _, duty := range d.duties {
 		go duty.run(ctx)
@@ -213,6 +224,14 @@
 	})
 }
 
+// Version returns the version of the configuration in force; 0 for none.
+func (d *Distributor) Version() int64 {
+	if c := d.follower.View().Configuration; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // tidier closes idle connections to upstreams that are gone.
 type tidier struct {
 	d    *Distributor
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -34,7 +34,7 @@
 	// newest before keys are no longer taken.
 	ProofLife time.Duration
 	Ration    rationer.Config
-	// Warn shares with other entries what is held against a request.
+	// Warn tells other entries at once what is held against requests.
 	Warn   func(ctx context.Context)
 	Random *rand.Rand
 	Log    *zap.Logger
@@ -112,11 +112,11 @@
 	return (s.Configuration.Keys == nil || f.isFresh(s)) && len(s.Upstreams) > 0
 }
 
-// Bans returns the requests that are held against.
-func (f *Forwarder) Bans() []quarantiner.Ban {
+// News returns what this entry has found out against requests and the others have not heard.
+func (f *Forwarder) News(limit int) []quarantiner.Ban {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.quarantine.Bans(time.Now())
+	return f.quarantine.News(time.Now(), limit)
 }
 
 // HearBan takes in a ban of another entry.
@@ -163,12 +163,16 @@
 	return f.random.Float64()
 }
 
-// died notes that an upstream ended with a call in flight, and tells the other entries.
+// died notes that an upstream ended with a call in flight. The other entries hear of it in
+// time, and before the call is tried again where this was not the first.
 func (f *Forwarder) died(ctx context.Context, upstream foxtailwharf.Upstream, digest string) {
 	f.mu.Lock()
 	f.quarantine.Died(time.Now(), upstream.ID+"@"+upstream.Born.String(), digest)
+	isRepeated := len(f.quarantine.DiedOn(digest)) > 1
 	f.mu.Unlock()
-	f.c.Warn(ctx)
+	if isRepeated {
+		f.c.Warn(ctx)
+	}
 }
 
 // answered clears a request that got a whole answer.
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -6,6 +6,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -53,6 +54,7 @@
 	suspects map[string]*suspect
 	barred   map[string]time.Time // until when, by request digest
 	deaths   []death
+	untold   map[string]bool // requests whose deaths seen here the others have not heard of
 }
 
 type suspect struct {
@@ -68,7 +70,7 @@
 // New returns an empty ledger.
 func New(c Config) *Quarantiner {
 	c.Defaults()
-	return &Quarantiner{c: c, suspects: make(map[string]*suspect), barred: make(map[string]time.Time)}
+	return &Quarantiner{c: c, suspects: make(map[string]*suspect), barred: make(map[string]time.Time), untold: make(map[string]bool)}
 }
 
 // Died notes that an upstream died with a request in flight. upstream names one
@@ -81,6 +83,7 @@
 		return
 	}
 	q.blame(now, upstream, digest)
+	q.untold[digest] = true
 	if len(q.DiedOn(digest)) >= q.c.DeathsToBar {
 		q.barred[digest] = now.Add(q.c.Time)
 	}
@@ -194,7 +197,7 @@
 	}
 	slices.Sort(digests)
 	for _, digest := range digests {
-		bans = append(bans, Ban{Digest: digest, Upstreams: q.DiedOn(digest), Age: q.age(now, digest), Remaining: q.Barred(now, digest)})
+		bans = append(bans, q.ban(now, digest))
 	}
 	return bans
 }
@@ -210,6 +213,29 @@
 	return age
 }
 
+// News returns what was seen here, still holds and was not returned before: of at most limit
+// requests, those with the most deaths first.
+func (q *Quarantiner) News(now time.Time, limit int) (bans []Ban) {
+	q.expire(now)
+	maps.DeleteFunc(q.untold, func(digest string, _ bool) bool { return !q.IsSuspect(digest) })
+	for digest := range q.untold {
+		bans = append(bans, q.ban(now, digest))
+	}
+	slices.SortFunc(bans, func(a, b Ban) int {
+		return cmp.Or(cmp.Compare(len(b.Upstreams), len(a.Upstreams)), cmp.Compare(a.Digest, b.Digest))
+	})
+	bans = bans[:min(limit, len(bans))]
+	for _, ban := range bans {
+		delete(q.untold, ban.Digest)
+	}
+	return bans
+}
+
+// ban describes what is held against a request.
+func (q *Quarantiner) ban(now time.Time, digest string) Ban {
+	return Ban{Digest: digest, Upstreams: q.DiedOn(digest), Age: q.age(now, digest), Remaining: q.Barred(now, digest)}
+}
+
 // Hear takes in what another entry holds against a request. Ages and the time that
 // remains are passed on, so that no two clocks are compared and everything ends
 // everywhere.
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -130,3 +131,39 @@
 		t.Errorf("entries kept each other's ban alive for %s", got)
 	}
 }
+
+// TestNews checks that other entries are told once of what was seen here and still holds.
+func TestNews(t *testing.T) {
+	now := time.Unix(0, 0)
+	q := quarantiner.New(quarantiner.Config{DeathsToBar: 3})
+	q.Hear(now, quarantiner.Ban{Digest: "heard", Upstreams: []string{"7"}})
+	q.Died(now, "1", "twice")
+	now = now.Add(5 * time.Second)
+	q.Died(now, "2", "twice")
+	now = now.Add(5 * time.Second)
+	q.Died(now, "3", "once")
+	tests := []struct {
+		limit int
+		want  []string
+	}{
+		{1, []string{"twice"}},
+		{5, []string{"once"}},
+		{5, nil},
+	}
+	for _, tt := range tests {
+		var have []string
+		for _, ban := range q.News(now, tt.limit) {
+			have = append(have, ban.Digest)
+		}
+		if !slices.Equal(have, tt.want) {
+			t.Errorf("have %v, want %v", have, tt.want)
+		}
+	}
+	// A rack dies: its deaths are no evidence, and there is nothing to tell.
+	for i := range 6 {
+		q.Died(now.Add(time.Minute), fmt.Sprint("rack-", i), fmt.Sprint("r", i))
+	}
+	if bans := q.News(now.Add(time.Minute), 9); len(bans) != 0 {
+		t.Errorf("%d requests are held against after the death of a rack, want none", len(bans))
+	}
+}
--- a/standin/listing/listing.go
+++ b/standin/listing/listing.go
@@ -193,6 +193,11 @@
 	return e.process.Stop(ctx)
 }
 
+// Version returns the version of the configuration in force.
+func (e *Entry) Version() int64 {
+	return e.process.Version()
+}
+
 // Callers returns where callers connect.
 func (e *Entry) Callers() netip.AddrPort {
 	return e.settings().Callers
@@ -277,6 +282,16 @@
 	}
 }
 
+// RegionTraffic returns the bytes of all connections between regions.
+func (f *Fleet) RegionTraffic() (bytes int64) {
+	for from := range domains {
+		for to := range domains {
+			bytes += f.fabric.RegionTraffic(domain(from), domain(to))
+		}
+	}
+	return bytes
+}
+
 // Caller returns a machine for callers.
 func (f *Fleet) Caller() *standin.Host {
 	return f.fabric.Host("callers", "callers", 0)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -230,10 +230,8 @@
 	// time since that configuration was surely the newest; negative for never
 	AgeMillis int64 `json:"AgeMillis"`
 
-	// what is held against requests that crash upstreams
-	Bans []Quarantine `json:"Bans,omitempty,omitzero"`
-
-	// the configuration as JSON, where the asking entry has an older one
+	// the configuration as JSON, where the asking entry wants documents and has an
+	// older one
 	Configuration string `json:"Configuration,omitempty,omitzero"`
 
 	// of the store, up to which Upstreams is complete
@@ -242,7 +240,8 @@
 	// the releases as JSON
 	Releases string `json:"Releases,omitempty,omitzero"`
 
-	// the list of upstreams as JSON, where the asking entry's is older
+	// the list of upstreams as JSON, where the asking entry wants documents and its
+	// list is older
 	Upstreams string `json:"Upstreams,omitempty,omitzero"`
 
 	// of the newest configuration known; 0 for none
@@ -294,15 +293,15 @@
 
 // FleetQuestion asks another entry what it knows of the platform's store.
 type FleetQuestion struct {
-	// what is held against requests that crash upstreams
-	Bans []Quarantine `json:"Bans,omitempty,omitzero"`
-
 	// of the store, up to which the asking entry's list of upstreams is complete; 0
 	// for none
 	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
 
 	// of the configuration that the asking entry has; 0 for none
 	Version int64 `json:"Version"`
+
+	// the answer should hold what the asking entry lacks
+	WantsDocuments bool `json:"WantsDocuments,omitempty,omitzero"`
 }
 
 // FleetReport is what an agent tells entries of the upstream beside it.
@@ -344,6 +343,13 @@
 	Weights int64 `json:"Weights,omitempty,omitzero"`
 }
 
+// FleetWarning tells another entry what is held against requests that crash
+// upstreams; the answer is an empty one.
+type FleetWarning struct {
+	// Bans corresponds to the JSON schema field "Bans".
+	Bans []Quarantine `json:"Bans,omitempty,omitzero"`
+}
+
 // Have tells a neighbour which chunks of a version the sender can upload.
 type Have struct {
 	// bitmap in base64, chunk 0 in the lowest bit of the first byte
