--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -57,20 +58,20 @@
 func (d *Distributor) notify() time.Duration {
 	v := d.follower.View()
 	d.mu.Lock()
-	agents := d.agents
+	agents, chosen := byService(d.agents), byService(d.chosen)
 	d.mu.Unlock()
 	if v.Configuration == nil || len(agents) == 0 {
 		return urgentInterval
 	}
 	interval := noticeInterval
-	for service, list := range byService(agents) {
-		notice := d.notice(v.Configuration, service)
+	for service, list := range agents {
+		notice := d.notice(v, service)
 		domains := domainsOf(list)
 		notice.Digest = digestOf(domains)
 		if notice.Release > 0 && notice.AgeMillis < urgentTime.Milliseconds() {
 			interval = urgentInterval
 		}
-		for _, u := range list {
+		for _, u := range chosen[service] {
 			d.sendNotice(u, notice, domains)
 		}
 	}
@@ -86,9 +87,10 @@
 }
 
 // notice describes a service to its agents.
-func (d *Distributor) notice(c *foxtailwharf.Configuration, service string) wire.FleetNotice {
+func (d *Distributor) notice(v follower.View, service string) wire.FleetNotice {
+	c := v.Configuration
 	model := c.Services[service].Engine.Model
-	notice := wire.FleetNotice{Service: service, Model: model, Domain: d.c.Settings.FailureDomain}
+	notice := wire.FleetNotice{Service: service, Model: model, Domain: d.c.Settings.FailureDomain, ListRevision: v.Revisions.Upstreams}
 	for _, s := range c.Services {
 		if s.Origin.IsValid() {
 			notice.Origin = s.Origin.String()
@@ -111,9 +113,14 @@
 			byName[u.FailureDomain] = append(byName[u.FailureDomain], u.Address.Addr().String())
 		}
 	}
-	for name, agents := range byName {
-		slices.Sort(agents)
-		domains = append(domains, wire.FleetDomain{Name: name, Agents: agents})
+	return listDomains(byName)
+}
+
+// listDomains lists machines by failure domain, in order.
+func listDomains(byName map[string][]string) (domains []wire.FleetDomain) {
+	for name, members := range byName {
+		slices.Sort(members)
+		domains = append(domains, wire.FleetDomain{Name: name, Members: members})
 	}
 	slices.SortFunc(domains, func(a, b wire.FleetDomain) int { return strings.Compare(a.Name, b.Name) })
 	return domains
@@ -124,26 +131,32 @@
 	const digits = 12
 	var text strings.Builder
 	for _, domain := range domains {
-		text.WriteString(domain.Name + " " + strings.Join(domain.Agents, " ") + "\n")
+		text.WriteString(domain.Name + " " + strings.Join(domain.Members, " ") + "\n")
 	}
 	return foxtailwharf.Digest([]byte(text.String()))[:digits]
 }
 
-// sendNotice sends the list along only where the agent has another one. Entries of the
-// agent's own failure domain do so, and the others while the agent has none.
+// heldList is the list of agents that an agent has.
+type heldList struct {
+	digest   string
+	revision uint64 // of the store
+}
+
+// sendNotice sends the list along only where the agent has another one that is not newer.
+// Entries of the agent's own failure domain do so, and the others while the agent has none.
 func (d *Distributor) sendNotice(u foxtailwharf.Upstream, notice wire.FleetNotice, domains []wire.FleetDomain) {
-	known := d.agentDigest(u.Address.Addr())
+	held := d.listOf(u.Address.Addr())
 	isNear := u.FailureDomain == d.c.Settings.FailureDomain
-	if known != notice.Digest && (isNear || known == "") {
+	if held.digest != notice.Digest && held.revision <= notice.ListRevision && (isNear || held.digest == "") {
 		notice.Domains = domains
 	}
 	d.notifier.Send(d.c.Settings.Peers(u.Address.Addr()), notice)
 }
 
-func (d *Distributor) agentDigest(address netip.Addr) string {
+func (d *Distributor) listOf(address netip.Addr) heldList {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.digests[address]
+	return d.lists[address]
 }
 
 // hearReport takes in an agent's report.
@@ -160,9 +173,10 @@
 		Queued:    report.Queued,
 		IsLoading: report.IsLoading,
 		IsDown:    report.IsDown,
+		Listeners: report.Listeners,
 	})
 	d.mu.Lock()
-	d.digests[from.Addr()] = report.Digest
+	d.lists[from.Addr()] = heldList{digest: report.Digest, revision: report.ListRevision}
 	d.mu.Unlock()
 	d.greet(from, report)
 	d.hearEntries(report.Entries)
@@ -173,45 +187,62 @@
 
 // greet answers an agent that has just started, before the store lists its upstream.
 func (d *Distributor) greet(to netip.AddrPort, report wire.FleetReport) {
-	c := d.follower.View().Configuration
-	if report.Service == "" || report.Digest != "" || c == nil || c.Services[report.Service].Engine == nil {
+	v := d.follower.View()
+	if report.Service == "" || report.Digest != "" || v.Configuration == nil || v.Configuration.Services[report.Service].Engine == nil {
 		return
 	}
 	d.mu.Lock()
 	agents := d.agents
 	d.mu.Unlock()
-	notice := d.notice(c, report.Service)
+	notice := d.notice(v, report.Service)
 	notice.Domains = domainsOf(byService(agents)[report.Service])
 	notice.Digest = digestOf(notice.Domains)
 	d.notifier.Send(to, notice)
 }
 
+// otherEntry is an entry that agents hear.
+type otherEntry struct {
+	domain string // failure domain
+	heard  time.Time
+}
+
 // hearEntries notes the entries that an agent hears.
-func (d *Distributor) hearEntries(list []string) {
+func (d *Distributor) hearEntries(list []wire.FleetDomain) {
 	if len(list) == 0 {
 		return
 	}
+	count := d.noteEntries(list)
+	d.forwarder.SetExtra(d.repeatExtra(count))
+	v := d.follower.View()
+	d.assigner.Update(func(b *balancer.Balancer) {
+		b.SetEntries(count)
+		d.setReleases(b, v.Configuration)
+	})
+}
+
+// noteEntries returns the number of entries, this one included.
+func (d *Distributor) noteEntries(list []wire.FleetDomain) int {
 	self := d.c.Settings.Peers(d.c.Settings.Address)
 	now := time.Now()
 	d.mu.Lock()
-	for _, text := range list {
-		if address, err := netip.ParseAddrPort(text); err == nil && address != self {
-			d.entries[address] = now
+	defer d.mu.Unlock()
+	for _, domain := range list {
+		for _, text := range domain.Members {
+			if address, err := netip.ParseAddrPort(text); err == nil && address != self {
+				d.entries[address] = otherEntry{domain: domain.Name, heard: now}
+			}
 		}
 	}
-	for address, heard := range d.entries {
-		if now.Sub(heard) > entryLife {
+	var near []netip.AddrPort
+	for address, e := range d.entries {
+		if now.Sub(e.heard) > entryLife {
 			delete(d.entries, address)
+		} else if e.domain == d.c.Settings.FailureDomain {
+			near = append(near, address)
 		}
 	}
-	count := len(d.entries) + 1
-	d.mu.Unlock()
-	d.forwarder.SetExtra(d.repeatExtra(count))
-	v := d.follower.View()
-	d.assigner.Update(func(b *balancer.Balancer) {
-		b.SetEntries(count)
-		d.setReleases(b, v.Configuration)
-	})
+	d.relier.SetEntries(near)
+	return len(d.entries) + 1
 }
 
 // otherEntries returns the addresses of the other entries.
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -23,6 +23,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/relier"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/forwarder"
@@ -85,9 +86,11 @@
 	named map[string][]named // by model, the newest last
 	// hasReleases says that the store's releases were read once.
 	hasReleases bool
-	agents      []foxtailwharf.Upstream
-	digests     map[netip.Addr]string // of the list that each agent has
-	entries     map[netip.AddrPort]time.Time
+	agents      []foxtailwharf.Upstream // of all engines
+	chosen      []foxtailwharf.Upstream // those with which this entry exchanges messages
+	lists       map[netip.Addr]heldList // that each agent has
+	entries     map[netip.AddrPort]otherEntry
+	relier      *relier.Relier
 }
 
 // duty is a part of the entry that runs beside the others.
@@ -104,9 +107,10 @@
 		messages: messenger.NewServer(),
 		client:   messenger.NewClient(c.Network),
 		named:    make(map[string][]named),
-		digests:  make(map[netip.Addr]string),
+		lists:    make(map[netip.Addr]heldList),
 		news:     make(chan struct{}, 1),
-		entries:  make(map[netip.AddrPort]time.Time),
+		entries:  make(map[netip.AddrPort]otherEntry),
+		relier:   relier.New(relier.Config{Self: c.Settings.Peers(c.Settings.Address)}),
 	}
 	d.peers = d.random("peers")
 	d.assigner = assigner.New(balancer.New(balancer.Config{FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer")}))
@@ -123,7 +127,14 @@
 		Random:    d.random("calls"),
 		Log:       c.Log,
 	})
-	d.follower = follower.New(follower.Config{Store: c.Store, Clock: c.Clock, Changed: d.changed, Log: c.Log})
+	d.follower = follower.New(follower.Config{
+		Store:      c.Store,
+		Clock:      c.Clock,
+		Changed:    d.changed,
+		IsRelieved: d.isRelieved,
+		Process:    c.Seed,
+		Log:        c.Log,
+	})
 	return d
 }
 
@@ -182,6 +193,7 @@
 		&caller{d: d, done: make(chan struct{})},
 		&asker{d: d, done: make(chan struct{})},
 		&warner{d: d, done: make(chan struct{})},
+		&relying{d: d, done: make(chan struct{})},
 	}
 	for _, duty := range d.duties {
 		go duty.run(ctx)
@@ -220,16 +232,14 @@
 	d.forwarder.SetView(v)
 	d.assigner.Update(func(b *balancer.Balancer) {
 		b.Set(v.Upstreams)
+		b.SetChosen(d.chosenAgents())
 		d.setReleases(b, v.Configuration)
 	})
 }
 
-// Version returns the version of the configuration in force; 0 for none.
-func (d *Distributor) Version() int64 {
-	if c := d.follower.View().Configuration; c != nil {
-		return c.Version
-	}
-	return 0
+// View returns what the entry knows of the store.
+func (d *Distributor) View() follower.View {
+	return d.follower.View()
 }
 
 // tidier closes idle connections to upstreams that are gone.
--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"slices"
 	"time"
@@ -22,12 +21,14 @@
 // Constants of what entries ask each other.
 const (
 	// askAge is the age of the own proof from which on other entries are asked, also if no
-	// call has failed yet: the store's answers bring one of 3.6 s at the most.
-	askAge = 3900 * time.Millisecond
+	// call has failed yet: the store's answers bring one of 2.4 s at the most.
+	askAge = 3200 * time.Millisecond
 	// askInterval is the time between two rounds of questions.
 	askInterval = 400 * time.Millisecond
 	// askTime bounds one question.
 	askTime = 700 * time.Millisecond
+	// maxHold bounds how long an answer is held.
+	maxHold = 2 * time.Second
 	// askCount is the number of entries asked in a round: of machines a third of which the
 	// store turns away, all of three rounds are without a proof once in 20,000.
 	askCount = 3
@@ -93,8 +94,7 @@
 		return
 	}
 	a.last = best.to
-	v := a.d.follower.View()
-	if (v.Configuration == nil && best.answer.Version > 0) || (v.Configuration != nil && best.answer.Version > v.Configuration.Version) || best.answer.ListRevision > v.ListRevision {
+	if v := a.d.follower.View(); best.answer.Version > v.Version() || best.answer.ListRevision > v.Revisions.Upstreams {
 		q := &question{d: a.d, to: best.to, wantsDocuments: true, done: make(chan struct{})}
 		q.run(ctx)
 	}
@@ -122,82 +122,134 @@
 	return others[:min(askCount, len(others))]
 }
 
-// ask asks one entry and takes in its answer. Its ages are counted from before the
-// question was sent, so that nothing seems newer than it is.
+// ask asks one entry and takes in its answer.
 func (d *Distributor) ask(ctx context.Context, to netip.AddrPort, wantsDocuments bool) (wire.FleetAnswer, error) {
 	v := d.follower.View()
-	q := wire.FleetQuestion{ListRevision: v.ListRevision, WantsDocuments: wantsDocuments}
-	if v.Configuration != nil {
-		q.Version = v.Configuration.Version
-	}
+	return d.put(ctx, to, wire.FleetQuestion{Version: v.Version(), ListRevision: v.Revisions.Upstreams, WantsDocuments: wantsDocuments}, false)
+}
+
+// put puts a question to one entry and takes in the answer. Its ages are counted from before
+// the question was sent, so that nothing seems newer than it is.
+func (d *Distributor) put(ctx context.Context, to netip.AddrPort, q wire.FleetQuestion, isRelied bool) (wire.FleetAnswer, error) {
 	asked := d.c.Clock()
 	answer, err := messenger.Call[wire.FleetAnswer](ctx, d.client, to, methodVouch, q)
 	if err != nil {
 		return answer, err
 	}
-	return answer, d.hearAnswer(answer, asked)
+	word, err := readWord(answer, asked)
+	if err != nil {
+		return answer, err
+	}
+	word.IsRelied = isRelied
+	d.follower.Hear(word)
+	return answer, nil
 }
 
-func (d *Distributor) hearAnswer(answer wire.FleetAnswer, asked time.Duration) error {
-	var heard follower.View
-	at := asked - time.Duration(answer.AgeMillis)*time.Millisecond
+// readWord reads an answer to a question that was put at a moment by the own clock.
+func readWord(answer wire.FleetAnswer, asked time.Duration) (w follower.Word, err error) {
+	w = follower.Word{
+		Version:      answer.Version,
+		ConfiguredAt: asked + time.Duration(answer.HeldMillis-answer.AgeMillis)*time.Millisecond,
+		HasProof:     answer.AgeMillis >= 0,
+		HasList:      answer.HasList,
+		IsWhole:      answer.IsWhole,
+		Gone:         answer.Gone,
+		Revisions: follower.Revisions{
+			Configuration: answer.ConfigurationRevision,
+			Upstreams:     answer.ListRevision,
+			Releases:      answer.ReleasesRevision,
+		},
+		Position: follower.Position{Process: answer.Process, Sequence: answer.Sequence},
+	}
 	if answer.Configuration != "" {
-		var c foxtailwharf.Configuration
-		if err := json.Unmarshal([]byte(answer.Configuration), &c); err != nil {
-			return err
+		w.Configuration = &foxtailwharf.Configuration{}
+		if err = unpack(answer.Configuration, w.Configuration); err != nil {
+			return w, err
 		}
-		heard.Configuration, heard.HasProof, heard.ConfiguredAt = &c, answer.AgeMillis >= 0, at
 	}
 	if answer.Upstreams != "" {
-		if err := json.Unmarshal([]byte(answer.Upstreams), &heard.Upstreams); err != nil {
-			return err
+		if err = unpack(answer.Upstreams, &w.Upstreams); err != nil {
+			return w, err
 		}
-		heard.ListRevision = answer.ListRevision
 	}
 	if answer.Releases != "" {
-		if err := json.Unmarshal([]byte(answer.Releases), &heard.Releases); err != nil {
-			return err
-		}
-	}
-	d.follower.Hear(heard)
-	if answer.AgeMillis >= 0 {
-		d.follower.Confirm(answer.Version, at)
+		err = unpack(answer.Releases, &w.Releases)
 	}
-	return nil
+	return w, err
 }
 
-// vouch answers another entry.
-func (d *Distributor) vouch(_ context.Context, q wire.FleetQuestion) (answer wire.FleetAnswer, err error) {
-	answer = wire.FleetAnswer{AgeMillis: -1}
+// vouch answers another entry, after a while if there is nothing new for it.
+func (d *Distributor) vouch(ctx context.Context, q wire.FleetQuestion) (answer wire.FleetAnswer, err error) {
+	asked := d.c.Clock()
+	d.hold(ctx, q)
 	v := d.follower.View()
 	now := d.c.Clock()
+	answer = wire.FleetAnswer{AgeMillis: -1, HeldMillis: (now - asked).Milliseconds(), IsRelying: d.isRelieved(), IsLost: v.IsLost, Process: d.c.Seed}
 	if v.Configuration == nil {
 		return answer, nil
 	}
-	answer.Version, answer.ListRevision = v.Configuration.Version, v.ListRevision
+	answer.Version, answer.ListRevision = v.Configuration.Version, v.Revisions.Upstreams
+	answer.ConfigurationRevision, answer.ReleasesRevision = v.Revisions.Configuration, v.Revisions.Releases
 	if v.HasProof {
 		answer.AgeMillis = ceilMillis(now - v.ConfiguredAt)
 	}
-	if q.WantsDocuments && v.Configuration.Version > q.Version {
-		if answer.Configuration, err = encode(v.Configuration); err != nil {
+	if q.WantsDocuments {
+		if err = d.addDocuments(&answer, q, v); err != nil {
 			return answer, err
 		}
 	}
-	if q.WantsDocuments && v.ListRevision > q.ListRevision {
-		if answer.Upstreams, err = encode(v.Upstreams); err != nil {
-			return answer, err
+	answer.Releases, err = pack(v.Releases)
+	return answer, err
+}
+
+// hold waits until there is something new for the asking entry, or the time is over for which
+// it lets its question be held.
+func (d *Distributor) hold(ctx context.Context, q wire.FleetQuestion) {
+	if q.HoldMillis <= 0 {
+		return
+	}
+	timer := time.NewTimer(time.Duration(min(q.HoldMillis, maxHold.Milliseconds())) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		changed := d.follower.Changed()
+		v := d.follower.View()
+		isSame := v.Version() == q.Version && q.Process == d.c.Seed && v.Sequence == q.Sequence && v.Revisions.Releases == q.ReleasesRevision
+		if !isSame || v.IsLost {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
 		}
 	}
-	answer.Releases, err = encode(v.Releases)
-	return answer, err
+}
+
+// addDocuments adds what the asking entry lacks.
+func (d *Distributor) addDocuments(answer *wire.FleetAnswer, q wire.FleetQuestion, v follower.View) (err error) {
+	if v.Configuration.Version > q.Version {
+		if answer.Configuration, err = pack(v.Configuration); err != nil {
+			return err
+		}
+	}
+	after := follower.Position{Process: q.Process, Sequence: q.Sequence}
+	if v.Revisions.Upstreams < q.ListRevision {
+		return nil
+	}
+	changes, isWhole := d.follower.Changes(after)
+	if isWhole && v.Revisions.Upstreams == q.ListRevision && q.HoldMillis == 0 {
+		return nil
+	}
+	answer.HasList, answer.IsWhole, answer.Gone, answer.Sequence = true, isWhole, changes.Gone, v.Sequence
+	if len(changes.Upstreams) > 0 {
+		answer.Upstreams, err = pack(changes.Upstreams)
+	}
+	return err
 }
 
 // ceilMillis rounds an age up.
 func ceilMillis(age time.Duration) int64 {
 	return (age + time.Millisecond - 1).Milliseconds()
 }
-
-func encode(value any) (string, error) {
-	text, err := json.Marshal(value)
-	return string(text), err
-}
--- /dev/null
+++ b/internal/process/distributor/packer.go
@@ -0,0 +1,49 @@
+package distributor
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/base64"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// maxPackedBytes bounds what is unpacked of one document.
+const maxPackedBytes = 16 << 20
+
+// pack writes a document as compressed JSON: configurations of many routes say nearly the
+// same many times.
+func pack(document any) (string, error) {
+	var text strings.Builder
+	encoder := base64.NewEncoder(base64.StdEncoding, &text)
+	compressor, err := flate.NewWriter(encoder, flate.BestSpeed)
+	if err != nil {
+		return "", errors.Wrap(err, "distributor.pack")
+	}
+	if err := json.NewEncoder(compressor).Encode(document); err != nil {
+		return "", errors.Wrap(err, "distributor.pack")
+	}
+	if err := compressor.Close(); err != nil {
+		return "", errors.Wrap(err, "distributor.pack")
+	}
+	if err := encoder.Close(); err != nil {
+		return "", errors.Wrap(err, "distributor.pack")
+	}
+	return text.String(), nil
+}
+
+// unpack reads what pack wrote.
+func unpack(text string, document any) error {
+	packed, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return errors.Wrap(err, "distributor.unpack")
+	}
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPackedBytes))
+	if err != nil {
+		return errors.Wrap(err, "distributor.unpack")
+	}
+	return errors.Wrap(json.Unmarshal(data, document), "distributor.unpack")
+}
--- a/internal/process/distributor/releases.go
+++ b/internal/process/distributor/releases.go
@@ -6,6 +6,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/mesher"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 )
 
@@ -43,7 +44,7 @@
 		d.noteRelease(r, named{version: r.Version, at: now, isGuess: !d.hasReleases})
 	}
 	d.hasReleases = d.hasReleases || v.HasReleases
-	d.agents = nil
+	d.agents, d.chosen = nil, nil
 	if v.Configuration == nil {
 		return
 	}
@@ -57,6 +58,14 @@
 			d.agents = append(d.agents, u)
 		}
 	}
+	d.chosen = mesher.Choose(d.c.Settings.Name, d.c.Settings.FailureDomain, d.agents)
+}
+
+// chosenAgents returns the agents with which this entry exchanges messages.
+func (d *Distributor) chosenAgents() []foxtailwharf.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.chosen
 }
 
 // noteRelease takes in a release that is newer than those known.
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -11,20 +11,19 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
 )
 
 // Constants of following.
 const (
 	// configurationWait is the wait for a new configuration. Each answer is the proof
-	// that the view is fresh, so it is a part of the time within which keys that were
-	// taken away must stop working. A connection that went silent shows here first, and
-	// then the other subjects ask again, so that their waits may be long.
-	configurationWait = 1800 * time.Millisecond
+	// that the view is fresh as of its question, so that a proof is up to two waits old: a
+	// part of the time within which keys that were taken away must stop working. A connection
+	// that went silent shows here first, and then the other subjects ask again, so that their
+	// waits may be long.
+	configurationWait = 1200 * time.Millisecond
 	// listWait and releaseWait are the waits for other changes.
 	listWait    = 8 * time.Second
 	releaseWait = 10 * time.Second
@@ -35,8 +34,16 @@
 	releasePause = 100 * time.Millisecond
 	// configurationPause is the same for configurations.
 	configurationPause = 150 * time.Millisecond
-	// failurePause is the pause after a call that failed.
-	failurePause = 250 * time.Millisecond
+	// firstFailurePause is the pause after a call that failed; it doubles with each failure
+	// after, up to maxDoublings times.
+	firstFailurePause = 250 * time.Millisecond
+	maxDoublings      = 4
+	// maxFailurePause bounds it for configurations, and so the time after an outage until the
+	// store is found back; otherFailurePause for the other subjects, which are woken then.
+	maxFailurePause   = 500 * time.Millisecond
+	otherFailurePause = 2 * time.Second
+	// reliefPause is the time between two looks at whether another entry still tells.
+	reliefPause = 100 * time.Millisecond
 	// outage is how long the store must have been out of reach for entries that are
 	// missing after it to be given time to come back.
 	outage = 1500 * time.Millisecond
@@ -55,27 +62,14 @@
 	Clock Clock
 	// Changed is told each new view.
 	Changed func(View)
+	// IsRelieved reports whether another entry tells what the store says, so that this one
+	// need not ask it; nil for never.
+	IsRelieved func() bool
+	// Process names this process to others; it is drawn at its start.
+	Process uint64
 	Log     *zap.Logger
 }
 
-// View is what is known of the store. It must not be changed.
-type View struct {
-	Configuration *foxtailwharf.Configuration // nil before the first
-	Upstreams     []foxtailwharf.Upstream     // by ID
-	Releases      []foxtailwharf.Release
-	// ConfiguredAt is the moment, by the clock, for which the configuration was surely the
-	// newest. It counts where HasProof is set.
-	ConfiguredAt time.Duration
-	HasProof     bool
-	// ListRevision is the store's revision up to which Upstreams is complete; 0 before the
-	// first list. Two lists are told apart by it and not by their ages: a watch that has
-	// just been sent knows less than one that has just been answered.
-	ListRevision uint64
-	// IsLost says that the store does not tell this process of configurations.
-	IsLost      bool
-	HasReleases bool // the releases have been read
-}
-
 // Follower keeps the view.
 type Follower struct {
 	c    Config
@@ -83,7 +77,13 @@
 
 	mu        sync.Mutex
 	view      View
+	changed   chan struct{} // closed with the next new view
 	upstreams map[string]foxtailwharf.Upstream
+	changedAt map[string]uint64                                // sequence of the last change, by ID
+	goneAt    map[string]uint64                                // the same for upstreams that are gone
+	goneFloor uint64                                           // sequence up to which those that are gone are not remembered
+	found     chan struct{}                                    // closed when the store is found back
+	base      Position                                         // of the entry whose list this one has; zero if it is the store's
 	releases  map[string]foxtailwharf.Release                  // by model
 	lingering map[string]time.Duration                         // until when, by ID, entries count that lapsed in an outage
 	returned  time.Duration                                    // end of the last outage, by the clock; 0 for none
@@ -94,7 +94,11 @@
 func New(c Config) *Follower {
 	return &Follower{
 		c:         c,
+		changed:   make(chan struct{}),
+		found:     make(chan struct{}),
 		upstreams: make(map[string]foxtailwharf.Upstream),
+		changedAt: make(map[string]uint64),
+		goneAt:    make(map[string]uint64),
 		releases:  make(map[string]foxtailwharf.Release),
 		lingering: make(map[string]time.Duration),
 		calls:     make(map[foxtailwharf.FleetSubject]context.CancelFunc),
@@ -130,100 +134,43 @@
 	return f.view
 }
 
-// subject follows one subject.
-type subject struct {
-	f        *Follower
-	name     foxtailwharf.FleetSubject
-	wait     time.Duration
-	pause    time.Duration
-	revision uint64 // 0 while everything has to be read
-	done     chan struct{}
-	heard    time.Duration // last answer, by the clock
-	isLost   bool
-}
-
-func (s *subject) run(ctx context.Context) {
-	defer close(s.done)
-	s.heard = s.f.c.Clock()
-	for ctx.Err() == nil {
-		if err := s.step(ctx); err != nil && ctx.Err() == nil {
-			s.failed(err)
-			pauser.Sleep(ctx, failurePause)
-		}
-	}
-}
-
-// step makes one call to the store and takes in what it says.
-func (s *subject) step(ctx context.Context) error {
-	asked := s.f.c.Clock()
-	isWhole := s.revision == 0
-	p, err := s.call(ctx, isWhole)
-	if errors.Is(err, foxtailwharf.ErrHistoryGone) {
-		s.f.c.Log.Info("store: The history is gone; everything is read anew.", zap.String("Subject", string(s.name)))
-		s.revision = 0
-		return nil
-	}
-	if errors.Is(err, context.Canceled) && ctx.Err() == nil {
-		// Another subject found the store back in reach; this one asks again at once.
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	s.answered()
-	isChanged := p.Configuration != nil || len(p.Upstreams)+len(p.Gone)+len(p.Releases) > 0
-	s.revision = p.Revision
-	s.f.take(s.name, p, isWhole, asked)
-	if isChanged && !isWhole {
-		pauser.Sleep(ctx, s.pause)
-	}
-	return nil
+// Changed returns a channel that is closed with the next new view.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
 }
 
-// call makes one call, which ends early if another subject finds the store back in reach:
-// the connection may have gone silent in the outage.
-func (s *subject) call(ctx context.Context, isWhole bool) (foxtailwharf.FleetPage, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s.f.mu.Lock()
-	s.f.calls[s.name] = cancel
-	s.f.mu.Unlock()
-	if isWhole {
-		return s.f.c.Store.Read(ctx, s.name)
-	}
-	return s.f.c.Store.Follow(ctx, s.name, s.revision, s.wait)
+// Base returns the position of another entry up to which this one has its list.
+func (f *Follower) Base() Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.base
 }
 
-// failed notes a call that got no answer. A watch that was cut may have missed nothing,
-// so that the revision stays.
-func (s *subject) failed(err error) {
-	if !s.isLost {
-		s.f.c.Log.Warn("store: It is out of reach.", zap.String("Subject", string(s.name)), zap.Error(err))
-	}
-	s.isLost = true
-	s.setLost(true)
+func (f *Follower) isRelieved() bool {
+	return f.c.IsRelieved != nil && f.c.IsRelieved()
 }
 
-// setLost notes whether the store tells of configurations.
-func (s *subject) setLost(isLost bool) {
-	if s.name != foxtailwharf.SubjectConfiguration {
-		return
-	}
-	s.f.mu.Lock()
-	defer s.f.mu.Unlock()
-	s.f.view.IsLost = isLost
+// revision returns the store's revision up to which a subject is known.
+func (f *Follower) revision(subject foxtailwharf.FleetSubject) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return *f.view.Revisions.of(subject)
 }
 
-// answered notes an answer, which may end an outage.
-func (s *subject) answered() {
-	now := s.f.c.Clock()
-	if s.isLost {
-		s.f.c.Log.Info("store: It is back in reach.", zap.String("Subject", string(s.name)), zap.Duration("After", now-s.heard))
-		s.f.back(s.name, now, now-s.heard > outage)
+// await pauses until the time is over or the store is found back.
+func (f *Follower) await(ctx context.Context, pause time.Duration) {
+	f.mu.Lock()
+	found := f.found
+	f.mu.Unlock()
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-found:
+	case <-ctx.Done():
 	}
-	s.isLost = false
-	s.setLost(false)
-	s.heard = now
 }
 
 // back notes that the store answers again, and ends the calls of other subjects.
@@ -233,6 +180,8 @@
 	if isOutage {
 		f.returned = now
 	}
+	close(f.found)
+	f.found = make(chan struct{})
 	for other, cancel := range f.calls {
 		if other != name {
 			cancel()
@@ -249,11 +198,12 @@
 		f.takeConfiguration(p.Configuration, asked)
 	case foxtailwharf.SubjectUpstreams:
 		f.takeUpstreams(p, isWhole)
-		f.view.ListRevision = p.Revision
+		f.base = Position{}
 	case foxtailwharf.SubjectReleases:
 		f.takeReleases(p.Releases)
 		f.view.HasReleases = true
 	}
+	*f.view.Revisions.of(subject) = p.Revision
 	f.publish()
 }
 
@@ -272,62 +222,6 @@
 	}
 }
 
-func (f *Follower) takeUpstreams(p foxtailwharf.FleetPage, isWhole bool) {
-	now := f.c.Clock()
-	if isWhole {
-		listed := make(map[string]bool, len(p.Upstreams))
-		for _, u := range p.Upstreams {
-			listed[u.ID] = true
-		}
-		for id := range f.upstreams {
-			if !listed[id] {
-				p.Gone = append(p.Gone, id)
-			}
-		}
-	}
-	for _, id := range p.Gone {
-		f.remove(id, now)
-	}
-	for _, u := range p.Upstreams {
-		if known, isKnown := f.upstreams[u.ID]; !isKnown || known.IsDraining != u.IsDraining || known.Weights != u.Weights {
-			f.c.Log.Info("store: An upstream is listed.", zap.String("Upstream", u.ID), zap.String("Service", u.Service),
-				zap.Stringer("Address", u.Address), zap.Bool("Draining", u.IsDraining), zap.Int64("Weights", u.Weights))
-		}
-		f.upstreams[u.ID] = u
-		delete(f.lingering, u.ID)
-	}
-}
-
-// expire drops the upstreams whose time to come back has passed.
-func (f *Follower) expire(now time.Duration) {
-	for id, until := range f.lingering {
-		if now >= until {
-			f.c.Log.Info("store: An upstream has not come back.", zap.String("Upstream", id))
-			delete(f.upstreams, id)
-			delete(f.lingering, id)
-		}
-	}
-}
-
-// remove drops an upstream. One that lapsed while the store was away is given time to
-// come back.
-func (f *Follower) remove(id string, now time.Duration) {
-	u, isKnown := f.upstreams[id]
-	if !isKnown {
-		return
-	}
-	_, isLingering := f.lingering[id]
-	if f.returned > 0 && now-f.returned < returnTime && !u.IsDraining && !isLingering {
-		f.lingering[id] = f.returned + returnTime
-		f.c.Log.Info("store: An upstream lapsed during an outage; it has time to come back.", zap.String("Upstream", id))
-		return
-	}
-	if !isLingering {
-		f.c.Log.Info("store: An upstream is gone.", zap.String("Upstream", id))
-		delete(f.upstreams, id)
-	}
-}
-
 func (f *Follower) takeReleases(releases []foxtailwharf.Release) {
 	for _, r := range releases {
 		if r.Version > f.releases[r.Model].Version {
@@ -348,21 +242,32 @@
 	for _, model := range slices.Sorted(maps.Keys(f.releases)) {
 		f.view.Releases = append(f.view.Releases, f.releases[model])
 	}
+	close(f.changed)
+	f.changed = make(chan struct{})
 	f.c.Changed(f.view)
 }
 
-// Hear takes in another entry's view, whose moments are already by the own clock.
-func (f *Follower) Hear(v View) {
+// Hear takes in what another entry tells.
+func (f *Follower) Hear(w Word) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v.HasProof && v.Configuration != nil {
-		f.takeConfiguration(v.Configuration, v.ConfiguredAt)
+	if w.HasProof && w.Configuration != nil {
+		f.takeConfiguration(w.Configuration, w.ConfiguredAt)
 	}
-	if v.ListRevision > f.view.ListRevision {
-		f.takeUpstreams(foxtailwharf.FleetPage{Upstreams: v.Upstreams}, true)
-		f.view.ListRevision = v.ListRevision
+	if w.HasProof && f.view.Version() == w.Version {
+		f.confirm(w.ConfiguredAt)
+		f.view.Revisions.Configuration = max(f.view.Revisions.Configuration, w.Revisions.Configuration)
+	}
+	if w.HasList && (w.Revisions.Upstreams > f.view.Revisions.Upstreams || (w.IsRelied && w.Revisions.Upstreams == f.view.Revisions.Upstreams)) {
+		f.takeUpstreams(foxtailwharf.FleetPage{Upstreams: w.Upstreams, Gone: w.Gone}, w.IsWhole)
+		f.view.Revisions.Upstreams = w.Revisions.Upstreams
+		f.base = w.Position
+	}
+	f.takeReleases(w.Releases)
+	if w.IsRelied {
+		f.view.Revisions.Releases = max(f.view.Revisions.Releases, w.Revisions.Releases)
+		f.view.HasReleases = f.view.HasReleases || w.Revisions.Releases > 0
 	}
-	f.takeReleases(v.Releases)
 	f.publish()
 }
 
@@ -371,8 +276,16 @@
 func (f *Follower) Confirm(version int64, at time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.view.Configuration != nil && f.view.Configuration.Version == version && (!f.view.HasProof || at > f.view.ConfiguredAt) {
-		f.view.ConfiguredAt, f.view.HasProof = at, true
+	if version > 0 && f.view.Version() == version && f.confirm(at) {
 		f.c.Changed(f.view)
 	}
 }
+
+// confirm notes a proof for the configuration in force; false for one that is no newer.
+func (f *Follower) confirm(at time.Duration) bool {
+	if f.view.HasProof && at <= f.view.ConfiguredAt {
+		return false
+	}
+	f.view.ConfiguredAt, f.view.HasProof = at, true
+	return true
+}
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -70,7 +70,7 @@
 		b.store.Configure(foxtailwharf.Configuration{Version: 7})
 		time.Sleep(time.Second)
 		b.store.Configure(foxtailwharf.Configuration{Version: 5})
-		b.follower.Hear(follower.View{Configuration: &foxtailwharf.Configuration{Version: 4}, HasProof: true, ConfiguredAt: b.clock()})
+		b.follower.Hear(follower.Word{Version: 4, Configuration: &foxtailwharf.Configuration{Version: 4}, HasProof: true, ConfiguredAt: b.clock()})
 		time.Sleep(3 * time.Second)
 		if b.version() != 7 {
 			t.Errorf("version %d is in force, want 7", b.version())
@@ -187,14 +187,15 @@
 	run(t, func(b *bench) {
 		b.store.List(foxtailwharf.Upstream{ID: "u1"})
 		time.Sleep(time.Second)
-		other := b.follower.View()
+		v := b.follower.View()
+		other := follower.Word{HasList: true, IsWhole: true, Upstreams: v.Upstreams, Revisions: v.Revisions}
 		b.store.Unlist("u1")
 		time.Sleep(time.Second)
 		b.follower.Hear(other)
 		if have := b.ids(); len(have) != 0 {
 			t.Errorf("have %v, want none", have)
 		}
-		other.ListRevision = b.follower.View().ListRevision + 1
+		other.Revisions.Upstreams = b.follower.View().Revisions.Upstreams + 1
 		b.follower.Hear(other)
 		if have := b.ids(); len(have) != 1 {
 			t.Errorf("have %v, want the newer list's upstream", have)
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -88,6 +88,7 @@
 	notice       notice
 	agents       []foxtailwharf.Instance
 	digest       string   // of the list of agents
+	revision     uint64   // of the store, that of the list
 	domain       []string // machines of the own failure domain
 	entries      map[netip.AddrPort]entry
 	originRegion string
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -148,11 +147,14 @@
 		IsLoading:  p.load.IsLoading,
 		IsDown:     p.load.IsDown,
 		Digest:     p.digest,
+		// Tells entries with an older list not to send it.
+		ListRevision: p.revision,
 	}
 	if n := p.notice; n.release.Version > 0 && !n.isGuess {
 		report.Model, report.Release = n.release.Model, n.release.Version
 		report.ReleaseAgeMillis = now.Sub(n.named).Milliseconds()
 	}
+	byDomain := make(map[string][]string)
 	for address, e := range p.entries {
 		if now.Sub(e.heard) > entryLife {
 			delete(p.entries, address)
@@ -163,9 +165,12 @@
 		} else {
 			far = append(far, address)
 		}
-		report.Entries = append(report.Entries, address.String())
+		byDomain[e.domain] = append(byDomain[e.domain], address.String())
 	}
-	slices.Sort(report.Entries)
+	for name, members := range byDomain {
+		report.Entries = append(report.Entries, wire.FleetDomain{Name: name, Members: members})
+	}
+	report.Listeners = len(near) + len(far)
 	return report, near, far
 }
 
@@ -185,7 +190,7 @@
 		p.originRegion = p.c.Settings.Regions[n.OriginDomain]
 	}
 	p.hearRelease(n, now)
-	if len(n.Domains) > 0 && n.Digest != p.digest {
+	if len(n.Domains) > 0 && n.Digest != p.digest && (n.ListRevision > p.revision || p.digest == "") {
 		p.hearAgents(n)
 	}
 }
@@ -209,11 +214,11 @@
 
 // hearAgents takes in the list of agents.
 func (p *Provisioner) hearAgents(n wire.FleetNotice) {
-	p.digest = n.Digest
+	p.digest, p.revision = n.Digest, n.ListRevision
 	p.agents = nil
 	p.domain = nil
 	for _, domain := range n.Domains {
-		for _, text := range domain.Agents {
+		for _, text := range domain.Members {
 			machine, err := netip.ParseAddr(text)
 			if err != nil {
 				p.c.Log.Warn("agent: A machine in the list cannot be read.", zap.String("Machine", text))
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -71,6 +71,7 @@
 	byMachine map[netip.Addr]*upstream
 	releases  map[string][]release // by service, the newest last
 	entries   int                  // that share the upstreams
+	chosen    map[string]bool      // engines whose agents report to this entry, by ID; nil for all
 }
 
 // release is a version that was named for a service.
@@ -109,6 +110,15 @@
 	}
 }
 
+// SetChosen tells which engines' agents report to this entry. It sends calls to others only
+// where none of these takes any.
+func (b *Balancer) SetChosen(chosen []foxtailwharf.Upstream) {
+	b.chosen = make(map[string]bool, len(chosen))
+	for _, u := range chosen {
+		b.chosen[u.ID] = true
+	}
+}
+
 // SetEntries tells how many entries share the upstreams.
 func (b *Balancer) SetEntries(count int) {
 	b.entries = max(count, 1)
@@ -217,10 +227,14 @@
 		return float64(u.own) < min(math.Ceil(slots/float64(b.entries)*blindFactor), slots)
 	}
 	free := slots - float64(u.load.Running+u.load.Queued)
-	if b.entries == 1 {
+	entries := b.entries
+	if u.load.Listeners > 0 {
+		entries = u.load.Listeners
+	}
+	if entries == 1 {
 		return free-float64(u.sent) >= 1
 	}
-	part := min(partFactor/float64(b.entries), 1)
+	part := min(partFactor/float64(entries), 1)
 	return math.Floor(max(free, 0)*part+u.draw)-float64(u.sent) >= 1 && (free > 0 || u.sent < 0)
 }
 
@@ -273,18 +287,24 @@
 }
 
 // candidates returns the upstreams that may get the call. Those with many faults are
-// left out while enough others remain.
+// left out while enough others remain, and those whose agents do not report here while any
+// others do.
 func (b *Balancer) candidates(now time.Time, w Want) []*upstream {
-	var sound, ejected []*upstream
+	var sound, ejected, silent []*upstream
 	for _, u := range b.byService[w.Service] {
 		switch {
 		case !b.takes(u, now, w):
+		case w.IsModel && b.chosen != nil && !b.chosen[u.ID]:
+			silent = append(silent, u)
 		case u.ejectedUntil.After(now):
 			ejected = append(ejected, u)
 		default:
 			sound = append(sound, u)
 		}
 	}
+	if len(sound)+len(ejected) == 0 {
+		return silent
+	}
 	if len(sound) == 0 || float64(len(ejected)) > maxEjectedPart*float64(len(ejected)+len(sound)) {
 		return append(sound, ejected...)
 	}
--- a/standin/listed.go
+++ b/standin/listed.go
@@ -26,6 +26,7 @@
 	releases      map[string]storedRelease
 	changed       chan struct{}
 	away          map[string]bool
+	calls         map[string]int // by view
 }
 
 type storedUpstream struct {
@@ -48,6 +49,7 @@
 		releases:  make(map[string]storedRelease),
 		changed:   make(chan struct{}),
 		away:      make(map[string]bool),
+		calls:     make(map[string]int),
 	}
 }
 
@@ -100,6 +102,20 @@
 	s.change(func(uint64) { s.away[view] = isAway })
 }
 
+// Calls returns how many calls a view has made, those that were turned away included.
+func (s *FleetStore) Calls(view string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[view]
+}
+
+// count notes a call.
+func (v *storeView) count() {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	v.s.calls[v.name]++
+}
+
 // View returns the store as one process reaches it.
 func (s *FleetStore) View(name string) foxtailwharf.FleetStore {
 	return &storeView{s: s, name: name}
@@ -113,6 +129,7 @@
 
 // Read returns all of a subject.
 func (v *storeView) Read(_ context.Context, subject foxtailwharf.FleetSubject) (foxtailwharf.FleetPage, error) {
+	v.count()
 	v.s.mu.Lock()
 	defer v.s.mu.Unlock()
 	if v.s.away[v.name] {
@@ -154,6 +171,7 @@
 
 // Follow waits for changes.
 func (v *storeView) Follow(ctx context.Context, subject foxtailwharf.FleetSubject, after uint64, wait time.Duration) (foxtailwharf.FleetPage, error) {
+	v.count()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/standin/listing/listing.go
+++ b/standin/listing/listing.go
@@ -63,6 +63,7 @@
 	n        int
 	host     *standin.Host
 	process  *distributor.Distributor
+	isKilled bool
 	stopping context.CancelFunc
 }
 
@@ -165,6 +166,7 @@
 
 // Start starts the entry on a machine that is new each time.
 func (e *Entry) Start(ctx context.Context) error {
+	e.isKilled = false
 	e.host = e.f.fabric.Host(domain(e.n), domain(e.n), 0)
 	e.process = distributor.New(distributor.Config{
 		Settings: e.settings(), Store: e.f.Store.View(e.Name), Dialect: standin.Dialect{}, Network: e.host, Packets: e.host,
@@ -183,10 +185,26 @@
 
 // Kill ends the entry's machine at once.
 func (e *Entry) Kill() {
+	e.isKilled = true
 	e.host.Kill()
 	e.stopping()
 }
 
+// IsKilled reports whether the entry's machine has ended.
+func (e *Entry) IsKilled() bool {
+	return e.isKilled
+}
+
+// IsDraining reports whether the entry knows that an upstream leaves.
+func (e *Entry) IsDraining(id string) bool {
+	for _, u := range e.process.View().Upstreams {
+		if u.ID == id {
+			return u.IsDraining
+		}
+	}
+	return false
+}
+
 // Stop stops the entry gracefully.
 func (e *Entry) Stop(ctx context.Context) error {
 	defer e.stopping()
@@ -195,7 +213,7 @@
 
 // Version returns the version of the configuration in force.
 func (e *Entry) Version() int64 {
-	return e.process.Version()
+	return e.process.View().Version()
 }
 
 // Callers returns where callers connect.
@@ -235,9 +253,20 @@
 
 // List writes the engine's entry of the platform's list.
 func (e *Engine) List() {
+	e.f.Store.List(e.entry())
+}
+
+// Drain writes there that the engine leaves.
+func (e *Engine) Drain() {
+	u := e.entry()
+	u.IsDraining = true
+	e.f.Store.List(u)
+}
+
+func (e *Engine) entry() foxtailwharf.Upstream {
 	u := e.Upstream()
 	u.Service, u.Address, u.FailureDomain = Service, e.address(), domain(e.n)
-	e.f.Store.List(u)
+	return u
 }
 
 // StartAgent starts the agent beside the engine.
--- a/standin/listing/many_test.go
+++ b/standin/listing/many_test.go
@@ -62,3 +62,104 @@
 		}
 	})
 }
+
+// drainBound is the time by which an upstream that leaves must get no more calls, by the
+// users' word; the wait before it is the time that their list may lag.
+const drainBound = 2 * time.Second
+
+// callsPerSecond is what one entry that asks the store makes: a watch of configurations every
+// 1.2 s, and one of each other subject every 8 s or more.
+const callsPerSecond = 1.2
+
+// storeCalls returns the calls of all entries to the store.
+func (b *bench) storeCalls() (calls int) {
+	for _, e := range b.Entries {
+		calls += b.Store.Calls(e.Name)
+	}
+	return calls
+}
+
+// TestOneEntryAsksForItsDomain counts the calls to the store of many entries: one of each
+// failure domain asks, and all see a change at once.
+func TestOneEntryAsksForItsDomain(t *testing.T) {
+	t.Parallel()
+	run(t, listing.Config{Entries: 12, Engines: 6, Slots: 8, Events: 8}, 0, func(b *bench) {
+		time.Sleep(10 * time.Second) // the last watches of those that need not ask end
+		const span = 12 * time.Second
+		before := b.storeCalls()
+		time.Sleep(span)
+		if calls, want := float64(b.storeCalls()-before), 3*callsPerSecond*span.Seconds(); calls > want {
+			t.Errorf("%.0f calls to the store in %s, want %.0f at the most", calls, span, want)
+		}
+		b.Store.Configure(b.Configuration(2, listing.Key, "k2"))
+		time.Sleep(300 * time.Millisecond)
+		b.checkVersion(2)
+	})
+}
+
+// checkVersion checks which configuration is in force at entries that run.
+func (b *bench) checkVersion(want int64) {
+	b.t.Helper()
+	for _, e := range b.Entries {
+		if have := e.Version(); !e.IsKilled() && have != want {
+			b.t.Errorf("%s: version %d is in force, want %d", e.Name, have, want)
+		}
+	}
+}
+
+// TestAskingEntryDies kills the entries that ask the store for their domains, right before a
+// configuration changes and an upstream leaves: the others find both out in time.
+func TestAskingEntryDies(t *testing.T) {
+	t.Parallel()
+	run(t, listing.Config{Entries: 9, Engines: 6, Slots: 8, Events: 8}, 0, func(b *bench) {
+		time.Sleep(10 * time.Second)
+		before := make(map[string]int)
+		for _, e := range b.Entries {
+			before[e.Name] = b.Store.Calls(e.Name)
+		}
+		time.Sleep(4 * time.Second)
+		killed := 0
+		for _, e := range b.Entries {
+			if b.Store.Calls(e.Name) > before[e.Name] {
+				e.Kill()
+				killed++
+			}
+		}
+		if killed == 0 || killed > 3 {
+			t.Errorf("%d entries asked the store, want one of each domain at the most", killed)
+		}
+		b.Store.Configure(b.Configuration(2, listing.Key))
+		b.Engines[0].Drain()
+		time.Sleep(drainBound - 200*time.Millisecond)
+		b.checkVersion(2)
+		for _, e := range b.Entries {
+			if !e.IsKilled() && !e.IsDraining(b.Engines[0].ID) {
+				t.Errorf("%s does not know that an upstream leaves", e.Name)
+			}
+		}
+	})
+}
+
+// TestAskingEntryIsTurnedAway turns the entries that ask away from the store, and then names
+// new weights: the others ask for themselves.
+func TestAskingEntryIsTurnedAway(t *testing.T) {
+	t.Parallel()
+	run(t, listing.Config{Entries: 9, Engines: 6, Slots: 8, Events: 8}, 0, func(b *bench) {
+		time.Sleep(10 * time.Second)
+		before := make(map[string]int)
+		for _, e := range b.Entries {
+			before[e.Name] = b.Store.Calls(e.Name)
+		}
+		time.Sleep(4 * time.Second)
+		for _, e := range b.Entries {
+			if b.Store.Calls(e.Name) > before[e.Name] {
+				b.Store.SetAway(e.Name, true)
+			}
+		}
+		b.Store.Configure(b.Configuration(2, listing.Key))
+		time.Sleep(drainBound - 200*time.Millisecond)
+		b.checkVersion(2)
+		b.Store.Release(foxtailwharf.Release{Model: "m", Version: 2})
+		b.waitFor(2, switchBound)
+	})
+}
--- a/upstream.go
+++ b/upstream.go
@@ -27,4 +27,6 @@
 	Queued    int
 	IsLoading bool // takes nothing new until the weights are loaded
 	IsDown    bool // does not answer the agent
+	// Listeners is the number of entries that get the agent's reports; 0 where it does not say.
+	Listeners int
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -230,28 +230,58 @@
 	// time since that configuration was surely the newest; negative for never
 	AgeMillis int64 `json:"AgeMillis"`
 
-	// the configuration as JSON, where the asking entry wants documents and has an
-	// older one
+	// the configuration as packed JSON, where the asking entry wants documents and
+	// has an older one
 	Configuration string `json:"Configuration,omitempty,omitzero"`
 
+	// of the store, up to which no newer configuration is known
+	ConfigurationRevision uint64 `json:"ConfigurationRevision,omitempty,omitzero"`
+
+	// upstreams that are gone
+	Gone []string `json:"Gone,omitempty,omitzero"`
+
+	// Upstreams and Gone bring the asking entry's list up to ListRevision
+	HasList bool `json:"HasList,omitempty,omitzero"`
+
+	// how long the answer was held
+	HeldMillis int64 `json:"HeldMillis,omitempty,omitzero"`
+
+	// the store does not answer the answering entry
+	IsLost bool `json:"IsLost,omitempty,omitzero"`
+
+	// the answering entry does not ask the store itself
+	IsRelying bool `json:"IsRelying,omitempty,omitzero"`
+
+	// Upstreams holds the whole list
+	IsWhole bool `json:"IsWhole,omitempty,omitzero"`
+
 	// of the store, up to which Upstreams is complete
 	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
 
+	// the answering process, and Sequence its place in the changes of its list
+	Process uint64 `json:"Process,omitempty,omitzero"`
+
 	// the releases as JSON
 	Releases string `json:"Releases,omitempty,omitzero"`
 
-	// the list of upstreams as JSON, where the asking entry wants documents and its
-	// list is older
+	// of the store, up to which Releases is complete
+	ReleasesRevision uint64 `json:"ReleasesRevision,omitempty,omitzero"`
+
+	// see Process
+	Sequence uint64 `json:"Sequence,omitempty,omitzero"`
+
+	// upstreams as packed JSON, where the asking entry wants documents: all, or those
+	// that have changed
 	Upstreams string `json:"Upstreams,omitempty,omitzero"`
 
 	// of the newest configuration known; 0 for none
 	Version int64 `json:"Version"`
 }
 
-// FleetDomain lists the agents of one failure domain.
+// FleetDomain lists machines of one failure domain.
 type FleetDomain struct {
 	// IP addresses
-	Agents []string `json:"Agents"`
+	Members []string `json:"Members"`
 
 	// Name corresponds to the JSON schema field "Name".
 	Name string `json:"Name"`
@@ -275,6 +305,9 @@
 	// the entry does not know when the release was named
 	IsGuess bool `json:"IsGuess,omitempty,omitzero"`
 
+	// of the store, that of the list which Digest is of
+	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
+
 	// model that the upstream serves; empty where it has no weights
 	Model string `json:"Model,omitempty,omitzero"`
 
@@ -293,10 +326,23 @@
 
 // FleetQuestion asks another entry what it knows of the platform's store.
 type FleetQuestion struct {
+	// how long the answer may be held until there is something new
+	HoldMillis int64 `json:"HoldMillis,omitempty,omitzero"`
+
 	// of the store, up to which the asking entry's list of upstreams is complete; 0
 	// for none
 	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
 
+	// the process whose list the asking entry has, and Sequence its place in that
+	// process's changes; 0 for none
+	Process uint64 `json:"Process,omitempty,omitzero"`
+
+	// of the store, up to which the asking entry's releases are complete
+	ReleasesRevision uint64 `json:"ReleasesRevision,omitempty,omitzero"`
+
+	// see Process
+	Sequence uint64 `json:"Sequence,omitempty,omitzero"`
+
 	// of the configuration that the asking entry has; 0 for none
 	Version int64 `json:"Version"`
 
@@ -312,8 +358,8 @@
 	// digest of the list of agents that the agent knows
 	Digest string `json:"Digest,omitempty,omitzero"`
 
-	// addresses of the entries that the agent hears; left out in most reports
-	Entries []string `json:"Entries,omitempty,omitzero"`
+	// entries that the agent hears, by failure domain; left out in most reports
+	Entries []FleetDomain `json:"Entries,omitempty,omitzero"`
 
 	// does not answer its agent
 	IsDown bool `json:"IsDown,omitempty,omitzero"`
@@ -321,6 +367,12 @@
 	// takes nothing new until the weights are loaded
 	IsLoading bool `json:"IsLoading,omitempty,omitzero"`
 
+	// of the store, that of the list which Digest is of
+	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
+
+	// number of entries that get the agent's reports
+	Listeners int `json:"Listeners,omitempty,omitzero"`
+
 	// model of Release
 	Model string `json:"Model,omitempty,omitzero"`
 
