--- a/configuration.go
+++ b/configuration.go
@@ -69,6 +69,7 @@
 	Engine         *EngineModel // nil for plain services
 	Origin         netip.AddrPort
 	OriginDomain   string // failure domain of the origin
+	OriginRate     int64  // of the origin's link, in bytes a second; 0 where it is not known
 }
 
 // EngineModel describes how the engines of a service work.
--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -95,6 +95,7 @@
 		if s.Origin.IsValid() {
 			notice.Origin = s.Origin.String()
 			notice.OriginDomain = s.OriginDomain
+			notice.OriginRate = s.OriginRate
 		}
 	}
 	if r, isNamed := d.newest(model); isNamed {
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -27,6 +27,8 @@
 	// listWait and releaseWait are the waits for other changes.
 	listWait    = 8 * time.Second
 	releaseWait = 10 * time.Second
+	// probeWait is the wait while the store was out of reach.
+	probeWait = 20 * time.Millisecond
 	// listPause is the pause between two changes of the list, so that many changes at
 	// once cost one call.
 	listPause = 900 * time.Millisecond
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -165,6 +165,24 @@
 	})
 }
 
+// TestRemovalAfterOutage removes an upstream a while after an outage in which nothing changed:
+// it did not lapse in the outage, and is gone at once.
+func TestRemovalAfterOutage(t *testing.T) {
+	run(t, func(b *bench) {
+		b.store.List(foxtailwharf.Upstream{ID: "u1"})
+		time.Sleep(time.Second)
+		b.store.SetAway("a", true)
+		time.Sleep(4 * time.Second)
+		b.store.SetAway("a", false)
+		time.Sleep(3500 * time.Millisecond)
+		b.store.Unlist("u1")
+		time.Sleep(500 * time.Millisecond)
+		if have := b.ids(); len(have) != 0 {
+			t.Errorf("have %v half a second after the removal, want none", have)
+		}
+	})
+}
+
 // TestLeavingIsSeenSoon checks that an upstream which starts to leave is seen within the
 // time that callers' calls may still reach it.
 func TestLeavingIsSeenSoon(t *testing.T) {
--- a/internal/process/follower/subject.go
+++ b/internal/process/follower/subject.go
@@ -101,7 +101,12 @@
 	if isWhole {
 		return s.f.c.Store.Read(ctx, s.name)
 	}
-	return s.f.c.Store.Follow(ctx, s.name, after, s.wait)
+	wait := s.wait
+	if s.isLost {
+		// A long wait would leave open until its end whether the store is back.
+		wait = probeWait
+	}
+	return s.f.c.Store.Follow(ctx, s.name, after, wait)
 }
 
 // failed notes a call that got no answer. A watch that was cut may have missed nothing,
--- a/internal/process/mesher/mesher_test.go
+++ b/internal/process/mesher/mesher_test.go
@@ -36,29 +36,16 @@
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt.entries, " entries"), func(t *testing.T) {
 			all := agents(tt.agents, tt.domains)
-			chosenBy := make(map[string]int)
-			farBy := make(map[string]int)
+			chosenBy, farBy := make(map[string]int), make(map[string]int)
 			for n := range tt.entries {
 				domain := fmt.Sprint("d", n%tt.domains)
 				chosen := mesher.Choose(fmt.Sprint("entry-", n), domain, all)
 				if len(chosen) > tt.wantEntry {
 					t.Errorf("an entry has %d agents, want %d at the most", len(chosen), tt.wantEntry)
 				}
-				for _, a := range chosen {
-					chosenBy[a.ID]++
-					if a.FailureDomain != domain {
-						farBy[a.ID]++
-					}
-				}
-			}
-			for _, a := range all {
-				if chosenBy[a.ID] == 0 {
-					t.Errorf("no entry has agent %s", a.ID)
-				}
-				if chosenBy[a.ID] > tt.wantAgent {
-					t.Errorf("agent %s has %d entries, want %d at the most", a.ID, chosenBy[a.ID], tt.wantAgent)
-				}
+				count(chosen, domain, chosenBy, farBy)
 			}
+			checkChosen(t, all, chosenBy, tt.wantAgent)
 			if tt.entries >= tt.agents/4 && len(farBy) < tt.agents*9/10 {
 				t.Errorf("%d of %d agents have entries of other failure domains", len(farBy), tt.agents)
 			}
@@ -66,6 +53,26 @@
 	}
 }
 
+// count adds an entry's choice to the numbers of entries of each agent.
+func count(chosen []foxtailwharf.Upstream, domain string, chosenBy, farBy map[string]int) {
+	for _, a := range chosen {
+		chosenBy[a.ID]++
+		if a.FailureDomain != domain {
+			farBy[a.ID]++
+		}
+	}
+}
+
+// checkChosen checks that each agent has entries, and not too many.
+func checkChosen(t *testing.T, all []foxtailwharf.Upstream, chosenBy map[string]int, limit int) {
+	t.Helper()
+	for _, a := range all {
+		if have := chosenBy[a.ID]; have == 0 || have > limit {
+			t.Errorf("agent %s has %d entries, want 1 to %d", a.ID, have, limit)
+		}
+	}
+}
+
 // TestChoiceIsStable checks that an agent that leaves changes the choice by one.
 func TestChoiceIsStable(t *testing.T) {
 	all := agents(99, 3)
--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -47,24 +47,26 @@
 	// engine does not hold it; nil for none.
 	newest       *bundle
 	previous     *bundle
-	isOnPrevious bool      // previous is being fetched
-	born         time.Time // of the engine that was last seen
-	orderedAt    time.Time // zero while no load is on its way
+	isOnPrevious bool // previous is being fetched
+	// isSearched says that what lay beside the engine at the agent's start was looked through.
+	// All that has come there since is this agent's.
+	isSearched bool
+	born       time.Time // of the engine that was last seen
+	orderedAt  time.Time // zero while no load is on its way
 }
 
 // bundle is a release with its chunks.
 type bundle struct {
-	release    foxtailwharf.Release
-	named      time.Time
-	wanted     time.Time // when this agent heard of it
-	digest     string    // of the manifest; empty before it is there
-	chunks     []foxtailwharf.Chunk
-	isSearched bool // the chunks that lie beside the engine were looked through
-	checked    time.Time
-	failed     time.Time // when its manifest or chunks were last not to be had
-	isStuck    bool      // they were not to be had at the last try
-	held       int       // at the last look
-	advanced   time.Time
+	release  foxtailwharf.Release
+	named    time.Time
+	wanted   time.Time // when this agent heard of it
+	digest   string    // of the manifest; empty before it is there
+	chunks   []foxtailwharf.Chunk
+	checked  time.Time
+	failed   time.Time // when its manifest or chunks were last not to be had
+	isStuck  bool      // they were not to be had at the last try
+	held     int       // at the last look
+	advanced time.Time
 	// wholeAge is the age of the release at which all its chunks were there; 0 before.
 	wholeAge time.Duration
 }
@@ -115,7 +117,7 @@
 	if b.digest == "" {
 		err = i.readManifest(ctx, b)
 	}
-	if err == nil && isUp && !b.isSearched {
+	if err == nil && isUp && !i.isSearched {
 		err = i.search(ctx, b)
 	}
 	if err != nil && ctx.Err() == nil {
@@ -296,7 +298,7 @@
 			found++
 		}
 	}
-	b.isSearched = true
+	i.isSearched = true
 	i.p.c.Log.Info("agent: Chunks beside the engine were looked through.", zap.Int64("Version", b.release.Version), zap.Int("Found", found))
 	return nil
 }
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/fetcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
@@ -92,6 +93,7 @@
 	domain       []string // machines of the own failure domain
 	entries      map[netip.AddrPort]entry
 	originRegion string
+	originRate   int64 // in bytes a second; 0 where it is not known
 	load         foxtailwharf.UpstreamLoad
 	digests      map[foxtailwharf.Release]string // of manifests
 }
@@ -132,6 +134,7 @@
 		Origin:       c.Origin,
 		Policy:       foxtailwharf.FetchSwarm,
 		OriginRegion: p.region,
+		OriginRate:   p.rate,
 		Neighbours:   neighbours,
 		Downloads:    downloads,
 		Patience:     patience,
@@ -176,6 +179,13 @@
 	return p.originRegion
 }
 
+// rate returns what the origin sends, in bytes a second.
+func (p *Provisioner) rate() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.originRate
+}
+
 // Start listens and begins all duties. They end with Stop, or at once with the context.
 func (p *Provisioner) Start(ctx context.Context) error {
 	s := p.c.Settings
@@ -211,14 +221,25 @@
 	return mux
 }
 
-// serveRelease answers with the manifest of a release.
+// manifestHold is how long a question for a manifest that is being read is held, and
+// manifestPoll the time between two looks.
+const (
+	manifestHold = 400 * time.Millisecond
+	manifestPoll = 10 * time.Millisecond
+)
+
+// serveRelease answers with the manifest of a release, after a while if it is on its way.
 func (p *Provisioner) serveRelease(w http.ResponseWriter, r *http.Request) {
 	version, err := strconv.ParseInt(r.PathValue("Version"), 10, 64)
 	if err != nil {
 		http.Error(w, "the version must be a number", http.StatusBadRequest)
 		return
 	}
-	text, isHeld := p.manifest(foxtailwharf.Release{Model: r.PathValue("Model"), Version: version})
+	release := foxtailwharf.Release{Model: r.PathValue("Model"), Version: version}
+	text, isHeld := p.manifest(release)
+	for until := time.Now().Add(manifestHold); !isHeld && time.Now().Before(until) && pauser.Sleep(r.Context(), manifestPoll); {
+		text, isHeld = p.manifest(release)
+	}
 	if !isHeld {
 		http.NotFound(w, r)
 		return
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -188,6 +188,7 @@
 	if origin, err := netip.ParseAddrPort(n.Origin); err == nil {
 		p.c.Origin.SetAddress(origin)
 		p.originRegion = p.c.Settings.Regions[n.OriginDomain]
+		p.originRate = n.OriginRate
 	}
 	p.hearRelease(n, now)
 	if len(n.Domains) > 0 && n.Digest != p.digest && (n.ListRevision > p.revision || p.digest == "") {
--- a/internal/version/fetcher/fetcher.go
+++ b/internal/version/fetcher/fetcher.go
@@ -56,7 +56,10 @@
 	Policy  foxtailwharf.FetchPolicy
 	// OriginRegion returns where the origin stands; nil where it is not known.
 	OriginRegion func() string
-	Neighbours   int
+	// OriginRate returns what the origin sends, in bytes a second; nil or 0 where it is not
+	// known.
+	OriginRate func() int64
+	Neighbours int
 	// Downloads is the number of chunks fetched at a time; 0 for the default.
 	Downloads int
 	Patience  time.Duration // time without progress after which the next sponsor takes over
@@ -211,6 +214,18 @@
 	return f.c.OriginRegion()
 }
 
+// drawTime returns how long the origin sends one chunk; 0 where its rate is not known.
+func (f *Fetcher) drawTime(m foxtailwharf.Manifest) time.Duration {
+	if f.c.OriginRate == nil || len(m.Chunks) == 0 {
+		return 0
+	}
+	rate := f.c.OriginRate()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(m.Chunks[0].Size * int64(time.Second) / rate)
+}
+
 // others returns the other agents that should have the version.
 func (f *Fetcher) others() []foxtailwharf.Instance {
 	self := f.c.Self()
--- a/internal/version/fetcher/session.go
+++ b/internal/version/fetcher/session.go
@@ -71,6 +71,7 @@
 			Manifest:     manifest,
 			Policy:       f.c.Policy,
 			OriginRegion: f.originRegion(),
+			DrawTime:     f.drawTime(manifest),
 			Patience:     f.c.Patience,
 			Random:       rand.New(rand.NewPCG(f.c.Random.Uint64(), f.c.Random.Uint64())),
 		}, now),
--- a/internal/version/selector/selector.go
+++ b/internal/version/selector/selector.go
@@ -50,6 +50,10 @@
 	// OriginRegion is where the origin stands; its region draws all chunks, so that each
 	// crosses to the other regions once. Where it is empty the draws are spread evenly.
 	OriginRegion string
+	// DrawTime is how long the origin sends one chunk; 0 where it is not known. With it the
+	// window moves by the clock as well, so that the origin is never idle while word of its
+	// chunks travels.
+	DrawTime time.Duration
 	// Patience is the time after which the next in line takes over from a sponsor
 	// that has not brought its chunk into the region.
 	Patience time.Duration
@@ -79,7 +83,8 @@
 	regions   []string
 	better    [][]string // sponsors of each chunk in the region before this agent, first first
 	primaries []string   // sponsor of each chunk in its primary region
-	advanced  time.Time  // when a chunk last arrived
+	started   time.Time
+	advanced  time.Time // when a chunk last arrived
 	perSource map[string]int
 	taken     map[string]int // chunks that came from each neighbour
 	waits     int
@@ -110,6 +115,7 @@
 		asked:     make(map[int]map[string]bool),
 		perSource: make(map[string]int),
 		taken:     make(map[string]int),
+		started:   now,
 		advanced:  now,
 		order:     c.Random.Perm(count),
 	}
--- a/internal/version/selector/selector_test.go
+++ b/internal/version/selector/selector_test.go
@@ -207,3 +207,35 @@
 		}
 	}
 }
+
+// TestWindowMovesByTheClock has a sponsor that hears of no chunk: it draws its later chunks
+// when the origin should have sent those before them, and not sooner.
+func TestWindowMovesByTheClock(t *testing.T) {
+	const chunks, agents, drawTime = 60, 6, 50 * time.Millisecond
+	start := time.Unix(0, 0)
+	var all []foxtailwharf.Instance
+	for n := range agents {
+		all = append(all, foxtailwharf.Instance{Name: fmt.Sprint("agent-", n), Region: "r", FailureDomain: "d"})
+	}
+	manifest := foxtailwharf.Manifest{}
+	for n := range chunks {
+		manifest.Chunks = append(manifest.Chunks, foxtailwharf.Chunk{Digest: foxtailwharf.Digest([]byte{byte(n)}), Size: 1})
+	}
+	s := selector.New(selector.Config{
+		Self: all[0], Manifest: manifest, OriginRegion: "r", Patience: time.Minute, DrawTime: drawTime, Random: rand.New(rand.NewPCG(1, 1)),
+	}, start)
+	s.SetHolders(all)
+	drawn := 0
+	for now := start; now.Before(start.Add(chunks * drawTime)); now = now.Add(drawTime / 2) {
+		for f, isFound := s.Next(now); isFound; f, isFound = s.Next(now) {
+			if ahead := f.Chunk - int(now.Sub(start)/drawTime); ahead > 20 {
+				t.Errorf("chunk %d is drawn %d chunks before its time", f.Chunk, ahead)
+			}
+			drawn++
+			s.Finish(now, f, selector.Fetched)
+		}
+	}
+	if drawn < chunks/agents/2 {
+		t.Errorf("%d chunks were drawn by one of %d sponsors of %d", drawn, agents, chunks)
+	}
+}
--- a/internal/version/selector/sponsor.go
+++ b/internal/version/selector/sponsor.go
@@ -15,7 +15,7 @@
 	}
 	for chunk := range s.has {
 		isMine := s.isOpen(chunk) && s.near[chunk] == 0 && len(s.better[chunk]) <= turn
-		if !isMine || (turn == 0 && !s.isInWindow(chunk)) {
+		if !isMine || (turn == 0 && !s.isInWindow(now, chunk)) {
 			continue
 		}
 		if f, isFound := s.draw(now, chunk); isFound {
@@ -26,10 +26,13 @@
 }
 
 // isInWindow reports whether a chunk's turn to be drawn has come: the one a window
-// before it, of the same primary region, has arrived somewhere near.
-func (s *Selector) isInWindow(chunk int) bool {
+// before it, of the same primary region, has arrived somewhere near, or should have.
+func (s *Selector) isInWindow(now time.Time, chunk int) bool {
 	before := chunk - window*s.primaryRegions()
-	return before < 0 || s.has[before] || s.near[before] > 0
+	if before < 0 || s.has[before] || s.near[before] > 0 {
+		return true
+	}
+	return s.c.DrawTime > 0 && now.Sub(s.started) >= time.Duration(before+1)*s.c.DrawTime
 }
 
 // primaryRegions returns in how many regions chunks are drawn from the origin.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -317,6 +317,9 @@
 	// failure domain of the origin
 	OriginDomain string `json:"OriginDomain,omitempty,omitzero"`
 
+	// bytes a second that the origin sends; 0 where it is not known
+	OriginRate int64 `json:"OriginRate,omitempty,omitzero"`
+
 	// version of the weights that the upstream should hold; 0 for none named
 	Release int64 `json:"Release,omitempty,omitzero"`
 
