--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -91,6 +91,10 @@
 	lists       map[netip.Addr]heldList // that each agent has
 	entries     map[netip.AddrPort]otherEntry
 	relier      *relier.Relier
+	meetBy      time.Time // until when the store waits for word of the other entries
+
+	packing sync.Mutex
+	packed  packedDocument // the configuration as it was last sent to another entry
 }
 
 // duty is a part of the entry that runs beside the others.
@@ -110,7 +114,10 @@
 		lists:    make(map[netip.Addr]heldList),
 		news:     make(chan struct{}, 1),
 		entries:  make(map[netip.AddrPort]otherEntry),
-		relier:   relier.New(relier.Config{Self: c.Settings.Peers(c.Settings.Address)}),
+		relier:   relier.New(relier.Config{Self: c.Settings.Peers(c.Settings.Address), Started: time.Now()}),
+	}
+	if len(c.Settings.Seeds) > 0 {
+		d.meetBy = time.Now().Add(meetTime)
 	}
 	d.peers = d.random("peers")
 	d.assigner = assigner.New(balancer.New(balancer.Config{FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer")}))
@@ -173,6 +180,7 @@
 	d.notifier = notifier.New(notifier.Config{Socket: socket, Heard: d.hearReport, Log: d.c.Log})
 	messenger.Register(d.messages, methodVouch, d.vouch)
 	messenger.Register(d.messages, methodWarn, d.hearWarning)
+	messenger.Register(d.messages, methodMeet, d.hearMeeting)
 	listeners := []struct {
 		address netip.AddrPort
 		handler http.Handler
@@ -194,6 +202,7 @@
 		&asker{d: d, done: make(chan struct{})},
 		&warner{d: d, done: make(chan struct{})},
 		&relying{d: d, done: make(chan struct{})},
+		&meeting{d: d, done: make(chan struct{})},
 	}
 	for _, duty := range d.duties {
 		go duty.run(ctx)
--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -214,7 +214,7 @@
 		changed := d.follower.Changed()
 		v := d.follower.View()
 		isSame := v.Version() == q.Version && q.Process == d.c.Seed && v.Sequence == q.Sequence && v.Revisions.Releases == q.ReleasesRevision
-		if !isSame || v.IsLost {
+		if (!isSame && v.Configuration != nil) || v.IsLost {
 			return
 		}
 		select {
@@ -230,7 +230,7 @@
 // addDocuments adds what the asking entry lacks.
 func (d *Distributor) addDocuments(answer *wire.FleetAnswer, q wire.FleetQuestion, v follower.View) (err error) {
 	if v.Configuration.Version > q.Version {
-		if answer.Configuration, err = pack(v.Configuration); err != nil {
+		if answer.Configuration, err = d.packConfiguration(v.Configuration); err != nil {
 			return err
 		}
 	}
--- a/internal/process/distributor/packer.go
+++ b/internal/process/distributor/packer.go
@@ -9,11 +9,34 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/foxtailwharf/foxtailwharf"
 )
 
 // maxPackedBytes bounds what is unpacked of one document.
 const maxPackedBytes = 16 << 20
 
+// packedDocument is a configuration in the form in which it is sent.
+type packedDocument struct {
+	version int64
+	text    string
+}
+
+// packConfiguration packs a configuration once for all entries that lack it.
+func (d *Distributor) packConfiguration(c *foxtailwharf.Configuration) (string, error) {
+	d.packing.Lock()
+	defer d.packing.Unlock()
+	if d.packed.version == c.Version {
+		return d.packed.text, nil
+	}
+	text, err := pack(c)
+	if err != nil {
+		return "", err
+	}
+	d.packed = packedDocument{version: c.Version, text: text}
+	return text, nil
+}
+
 // pack writes a document as compressed JSON: configurations of many routes say nearly the
 // same many times.
 func pack(document any) (string, error) {
--- a/internal/process/distributor/relying.go
+++ b/internal/process/distributor/relying.go
@@ -92,12 +92,14 @@
 		Age:       time.Duration(answer.AgeMillis) * time.Millisecond,
 		IsRelying: answer.IsRelying,
 		IsLost:    answer.IsLost,
+		IsNew:     answer.Version == 0,
 	})
 }
 
-// isRelieved reports whether another entry tells what the store says.
+// isRelieved reports whether another entry tells what the store says, or will soon.
 func (d *Distributor) isRelieved() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.relier.IsRelieved(time.Now())
+	now := time.Now()
+	return d.relier.IsRelieved(now) || now.Before(d.meetBy)
 }
--- a/internal/process/relier/relier.go
+++ b/internal/process/relier/relier.go
@@ -24,11 +24,15 @@
 	maxAge = 3 * time.Second
 	// passTime is how long an entry that gave no good word is passed over.
 	passTime = 3 * time.Second
+	// startTime is how long an entry that has just started waits for another one that has
+	// just started, too, and reads the store for all.
+	startTime = 1500 * time.Millisecond
 )
 
 // Config holds the settings of a Relier.
 type Config struct {
-	Self netip.AddrPort
+	Self    netip.AddrPort
+	Started time.Time
 }
 
 // Relier is the decision of one entry.
@@ -44,6 +48,11 @@
 	return &Relier{c: c, first: c.Self, passed: make(map[netip.AddrPort]time.Time)}
 }
 
+// Self returns the entry whose decision this is.
+func (r *Relier) Self() netip.AddrPort {
+	return r.c.Self
+}
+
 // SetEntries tells the other entries of the failure domain.
 func (r *Relier) SetEntries(others []netip.AddrPort) {
 	r.first = r.c.Self
@@ -73,10 +82,14 @@
 	Age       time.Duration // of its proof
 	IsRelying bool          // it does not ask the store itself
 	IsLost    bool          // the store does not answer it
+	IsNew     bool          // it has not read the store yet
 }
 
 // Heard notes a word of an entry, and reports whether it stands in for the store's.
 func (r *Relier) Heard(now time.Time, from netip.AddrPort, w Word) bool {
+	if w.IsNew && !w.IsLost && r.isStarting(now) {
+		return false
+	}
 	if !w.HasProof || w.Age > maxAge || w.IsRelying || w.IsLost {
 		r.Failed(now, from)
 		return false
@@ -98,8 +111,18 @@
 	}
 }
 
+// isStarting reports whether this entry has started so lately that others may have, too.
+func (r *Relier) isStarting(now time.Time) bool {
+	return now.Sub(r.c.Started) < startTime
+}
+
 // IsRelieved reports whether this entry need not ask the store.
 func (r *Relier) IsRelieved(now time.Time) bool {
-	_, isRelying := r.Source(now)
-	return isRelying && !r.heardAt.IsZero() && now.Sub(r.heardAt) < wordLife
+	if _, isRelying := r.Source(now); !isRelying {
+		return false
+	}
+	if r.heardAt.IsZero() {
+		return r.isStarting(now)
+	}
+	return now.Sub(r.heardAt) < wordLife
 }
--- a/internal/process/relier/relier_test.go
+++ b/internal/process/relier/relier_test.go
@@ -72,6 +72,7 @@
 		{"an old proof", relier.Word{HasProof: true, Age: 4 * time.Second}, 0, false},
 		{"relying itself", relier.Word{HasProof: true, IsRelying: true}, 0, false},
 		{"without the store", relier.Word{HasProof: true, IsLost: true}, 0, false},
+		{"new, and this entry is not", relier.Word{IsNew: true}, 0, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -97,6 +98,34 @@
 	return nil
 }
 
+// TestStartTogether starts two entries at the same time: one reads the store, the other waits
+// for its word, and not for longer than it takes to read.
+func TestStartTogether(t *testing.T) {
+	start := time.Unix(100, 0)
+	r := relier.New(relier.Config{Self: entry(0), Started: start})
+	other := entry(1)
+	r.SetEntries([]netip.AddrPort{other})
+	if _, isRelying := r.Source(start); !isRelying {
+		other = entry(0)
+		r = relier.New(relier.Config{Self: entry(1), Started: start})
+		r.SetEntries([]netip.AddrPort{other})
+	}
+	now := start.Add(100 * time.Millisecond)
+	r.Heard(now, other, relier.Word{IsNew: true})
+	if !r.IsRelieved(now) {
+		t.Error("both read the store at their start, want one")
+	}
+	if now = start.Add(2 * time.Second); r.IsRelieved(now) {
+		t.Error("the other entry has nothing after 2 s, and this one does not read the store")
+	}
+	r = relier.New(relier.Config{Self: r.Self(), Started: start})
+	r.SetEntries([]netip.AddrPort{other})
+	r.Failed(start.Add(100*time.Millisecond), other)
+	if r.IsRelieved(start.Add(100 * time.Millisecond)) {
+		t.Error("the other entry does not answer, and this one does not read the store")
+	}
+}
+
 // TestNeverLeftAlone plays good words, failures and silence in any order: an entry is
 // relieved only while a good word is younger than the time in which a change must be found.
 func TestNeverLeftAlone(t *testing.T) {
--- a/standin/listing/many_test.go
+++ b/standin/listing/many_test.go
@@ -163,3 +163,29 @@
 		b.waitFor(2, switchBound)
 	})
 }
+
+// TestAllStartTogether ends all entries at once and starts them again: a few read the store for
+// the others, and all know the configuration within a second.
+func TestAllStartTogether(t *testing.T) {
+	t.Parallel()
+	run(t, listing.Config{Entries: 15, Engines: 3, Slots: 8, Events: 8}, 0, func(b *bench) {
+		for _, e := range b.Entries {
+			e.Kill()
+		}
+		time.Sleep(time.Second)
+		before := b.storeCalls()
+		for _, e := range b.Entries {
+			if err := e.Start(b.t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		b.checkVersion(1)
+		// Each reader reads three subjects and begins three watches; two or three of a domain
+		// read if they start before they hear of each other.
+		if calls, want := b.storeCalls()-before, 3*2*6; calls > want {
+			t.Errorf("%d calls to the store, want %d at the most", calls, want)
+		}
+	})
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -287,6 +287,13 @@
 	Name string `json:"Name"`
 }
 
+// FleetMeeting makes an entry known to another one, which answers with the entries
+// that it knows.
+type FleetMeeting struct {
+	// by failure domain
+	Entries []FleetDomain `json:"Entries"`
+}
+
 // FleetNotice is what an entry tells an agent of a fleet listed by the platform,
 // and asks for reports.
 type FleetNotice struct {
