Metrics as text on an address of their own, with histograms by client account and rank

Now: time in the queue, first event, between events and whole, by account and the route's priority, refusals by reason, retries, and gauges (queue, configuration, age of its proof, upstreams; agents: weights, load, bytes) at the settings' Metrics address. Ruled out: JSON there as well (the deploy file asks for text). Figures: golden file of the text; at most 200 accounts with series of their own (TestManyAccounts).

--- a/fleetsettings.go
+++ b/fleetsettings.go
@@ -48,6 +48,9 @@
 	// IsFirstStart says that the whole system starts for the first time, so that weights
 	// may lie beside engines that do not answer yet.
 	IsFirstStart bool `yaml:"IsFirstStart,omitempty"`
+	// Metrics is where counters and histograms are served as text, under /metrics; left out for
+	// nowhere but among the processes' own traffic.
+	Metrics netip.AddrPort `yaml:"Metrics,omitempty"`
 	// LinkMegabits is the rate of the machine's link, in Mbit/s.
 	LinkMegabits float64       `yaml:"LinkMegabits"`
 	Drain        time.Duration `yaml:"Drain"` // limit of a graceful stop
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -181,14 +181,14 @@
 	messenger.Register(d.messages, methodVouch, d.vouch)
 	messenger.Register(d.messages, methodWarn, d.hearWarning)
 	messenger.Register(d.messages, methodMeet, d.hearMeeting)
-	listeners := []struct {
-		address netip.AddrPort
-		handler http.Handler
-	}{
+	listeners := []listening{
 		{s.Peers(s.Address), d.peersMux()},
 		{s.Ready, http.HandlerFunc(d.serveReady)},
 		{s.Callers, d.forwarder},
 	}
+	if s.Metrics.IsValid() {
+		listeners = append(listeners, listening{s.Metrics, d.metricsMux()})
+	}
 	for _, l := range listeners {
 		if err := d.serve(ctx, l.address, l.handler); err != nil {
 			return errors.Wrap(err, "Distributor.Start")
@@ -211,6 +211,12 @@
 	return nil
 }
 
+// listening is an address with what answers there.
+type listening struct {
+	address netip.AddrPort
+	handler http.Handler
+}
+
 func (d *Distributor) serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
 	listener, err := d.c.Network.Listen(ctx, address)
 	if err != nil {
@@ -228,6 +234,24 @@
 	return mux
 }
 
+// metricsMux serves the metrics as text.
+func (d *Distributor) metricsMux() http.Handler {
+	d.recorder.Gauge("Waiting", func() int64 { return int64(d.assigner.Waiting()) })
+	d.recorder.Gauge("ConfigurationVersion", func() int64 { return d.follower.View().Version() })
+	d.recorder.Gauge("ProofAgeMillis", func() int64 {
+		v := d.follower.View()
+		if !v.HasProof {
+			return -1
+		}
+		return (d.c.Clock() - v.ConfiguredAt).Milliseconds()
+	})
+	d.recorder.Gauge("Upstreams", func() int64 { return int64(len(d.follower.View().Upstreams)) })
+	d.recorder.Gauge("OtherEntries", func() int64 { return int64(len(d.otherEntries())) })
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", d.recorder.ServeText)
+	return mux
+}
+
 // serveReady answers the balancer, which reads the status alone.
 func (d *Distributor) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if d.isLeaving.Load() || !d.forwarder.IsReady() {
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -81,6 +81,7 @@
 	notifier  *notifier.Notifier
 	recorder  *recorder.Recorder
 	server    *server.Server
+	metrics   *server.Server // nil where the settings do not ask for it
 	reporter  *reporter
 	installer *install
 	cancel    context.CancelFunc
@@ -202,6 +203,9 @@
 	}
 	h := &http.Server{Handler: p.mux(), ReadHeaderTimeout: stall, ErrorLog: zap.NewStdLog(p.c.Log)}
 	p.server = server.Start(listener, h, p.c.Log)
+	if err := p.serveMetrics(ctx); err != nil {
+		return errors.Wrap(err, "Provisioner.Start")
+	}
 	p.notifier.Start()
 	p.fetcher.Start(ctx)
 	go p.reporter.run(ctx)
@@ -210,6 +214,33 @@
 	return nil
 }
 
+// serveMetrics serves the metrics as text where the settings ask for it.
+func (p *Provisioner) serveMetrics(ctx context.Context) error {
+	if !p.c.Settings.Metrics.IsValid() {
+		return nil
+	}
+	listener, err := p.c.Network.Listen(ctx, p.c.Settings.Metrics)
+	if err != nil {
+		return err
+	}
+	load := func(value func(foxtailwharf.UpstreamLoad) int64) func() int64 {
+		return func() int64 {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return value(p.load)
+		}
+	}
+	p.recorder.Gauge("Weights", load(func(l foxtailwharf.UpstreamLoad) int64 { return l.Weights }))
+	p.recorder.Gauge("Running", load(func(l foxtailwharf.UpstreamLoad) int64 { return int64(l.Running) }))
+	p.recorder.Gauge("Queued", load(func(l foxtailwharf.UpstreamLoad) int64 { return int64(l.Queued) }))
+	p.recorder.Gauge("OriginBytesDrawn", p.fetcher.Drawn)
+	p.recorder.Gauge("BytesUploaded", p.uploader.Sent)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", p.recorder.ServeText)
+	p.metrics = server.Start(listener, &http.Server{Handler: mux, ReadHeaderTimeout: stall, ErrorLog: zap.NewStdLog(p.c.Log)}, p.c.Log)
+	return nil
+}
+
 func (p *Provisioner) mux() http.Handler {
 	p.fetcher.Register(p.messages)
 	mux := http.NewServeMux()
@@ -265,6 +296,11 @@
 	p.c.Log.Info("agent: Stopping.")
 	p.cancel()
 	err := p.server.Shutdown(ctx)
+	if p.metrics != nil {
+		if shutErr := p.metrics.Shutdown(ctx); shutErr != nil && err == nil {
+			err = shutErr
+		}
+	}
 	p.messages.Close()
 	p.client.Close()
 	p.notifier.Close()
--- a/internal/process/recorder/recorder.go
+++ b/internal/process/recorder/recorder.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-
-	"github.com/foxtailwharf/foxtailwharf"
 )
 
 // Constants of the histograms.
@@ -26,17 +24,21 @@
 
 // The measures.
 const (
-	MeasureQueue   Measure = "QueueMicros"
-	MeasureFirst   Measure = "FirstTokenMicros"
-	MeasureBetween Measure = "BetweenTokensMicros"
-	MeasureWhole   Measure = "WholeMicros"
-	CounterRefused         = "Refused."
-	CounterRetried         = "Retried"
-	CounterResumed         = "Resumed"
-	CounterCrossed         = "CrossedAnswers"
-	CounterBroken          = "BrokenAnswers"
+	MeasureQueue    Measure = "QueueMicros"
+	MeasureFirst    Measure = "FirstTokenMicros"
+	MeasureBetween  Measure = "BetweenTokensMicros"
+	MeasureWhole    Measure = "WholeMicros"
+	CounterRefused          = "Refused."
+	CounterRetried          = "Retried"
+	CounterResumed          = "Resumed"
+	CounterCrossed          = "CrossedAnswers"
+	CounterBroken           = "BrokenAnswers"
+	CounterAnswered         = "Answered"
 )
 
+// separator stands between the parts of a series' name.
+const separator = "."
+
 // Recorder holds the metrics of one process.
 type Recorder struct {
 	registry metrics.Registry
@@ -51,8 +53,8 @@
 }
 
 // Time notes a duration for a client account and rank.
-func (r *Recorder) Time(m Measure, account string, rank foxtailwharf.Rank, elapsed time.Duration) {
-	name := string(m) + "." + r.account(account) + "." + string(rank)
+func (r *Recorder) Time(m Measure, account, rank string, elapsed time.Duration) {
+	name := string(m) + separator + r.account(account) + separator + rank
 	make := func() metrics.Histogram { return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, decay)) }
 	histogram, isHistogram := r.registry.GetOrRegister(name, make).(metrics.Histogram)
 	if isHistogram {
@@ -89,6 +91,12 @@
 	return metrics.GetOrRegisterCounter(name, r.registry).Count()
 }
 
+// Gauge makes a value that is read when the metrics are.
+func (r *Recorder) Gauge(name string, value func() int64) {
+	// The name is registered once, by the owner of the recorder.
+	_ = r.registry.Register(name, metrics.NewFunctionalGauge(value))
+}
+
 // ServeHTTP answers with all metrics as JSON.
 func (r *Recorder) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/internal/process/recorder/recorder_test.go
@@ -0,0 +1,42 @@
+package recorder_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+)
+
+// TestText writes down the metrics as text.
+func TestText(t *testing.T) {
+	r := recorder.New()
+	for n := range 100 {
+		r.Time(recorder.MeasureFirst, "a1", "0", time.Duration(n+1)*time.Millisecond)
+	}
+	r.Time(recorder.MeasureWhole, "with \"quotes\"", "2", time.Second)
+	r.Count(recorder.CounterRefused + "QueueFull")
+	r.Count(recorder.CounterRetried)
+	r.Gauge("Waiting", func() int64 { return 7 })
+	w := httptest.NewRecorder()
+	r.ServeText(w, nil)
+	goldie.New(t).Assert(t, "text", w.Body.Bytes())
+}
+
+// TestManyAccounts checks that the number of series is bounded.
+func TestManyAccounts(t *testing.T) {
+	const maxSeries = 201 // the accounts that have their own, and one for all others
+	r := recorder.New()
+	for n := range 1000 {
+		r.Time(recorder.MeasureFirst, fmt.Sprint("account-", n), "0", time.Millisecond)
+	}
+	w := httptest.NewRecorder()
+	r.ServeText(w, nil)
+	if lines := strings.Count(w.Body.String(), "FirstTokenMicrosCount"); lines > maxSeries {
+		t.Errorf("%d series, want %d at the most", lines, maxSeries)
+	}
+}
--- /dev/null
+++ b/internal/process/recorder/text.go
@@ -0,0 +1,85 @@
+package recorder
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// quantiles are those written of each histogram.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// sample is one line of the text: a series with its value.
+type sample struct {
+	name   string
+	labels string // in the order of their writing; empty for none
+	value  string
+}
+
+// ServeText answers with all metrics as text, a line each: name, labels, value. Histograms of
+// times have a line for each quantile, for their number and for the longest.
+func (r *Recorder) ServeText(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if err := r.writeText(w); err != nil {
+		// The reader went away; there is nothing left to tell it.
+		return
+	}
+}
+
+func (r *Recorder) writeText(w io.Writer) error {
+	var samples []sample
+	r.registry.Each(func(name string, metric any) {
+		samples = append(samples, samplesOf(name, metric)...)
+	})
+	slices.SortFunc(samples, func(a, b sample) int {
+		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.labels, b.labels))
+	})
+	for _, s := range samples {
+		if _, err := fmt.Fprintf(w, "%s%s %s\n", s.name, s.labels, s.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// samplesOf returns the lines of one metric.
+func samplesOf(name string, metric any) []sample {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		base, reason, _ := strings.Cut(name, separator)
+		return []sample{{name: base + "Total", labels: label("Reason", reason), value: fmt.Sprint(m.Count())}}
+	case metrics.Gauge:
+		return []sample{{name: name, value: fmt.Sprint(m.Value())}}
+	case metrics.Histogram:
+		return histogramSamples(name, m.Snapshot())
+	default:
+		return nil
+	}
+}
+
+func histogramSamples(name string, h metrics.Histogram) (samples []sample) {
+	parts := strings.SplitN(name, separator, 3)
+	for len(parts) < 3 {
+		parts = append(parts, "")
+	}
+	series := fmt.Sprintf("Account=%q,Rank=%q", parts[1], parts[2])
+	for i, value := range h.Percentiles(quantiles) {
+		samples = append(samples, sample{name: parts[0], labels: fmt.Sprintf("{%s,Quantile=%q}", series, fmt.Sprint(quantiles[i])), value: fmt.Sprintf("%.0f", value)})
+	}
+	return append(samples,
+		sample{name: parts[0] + "Count", labels: "{" + series + "}", value: fmt.Sprint(h.Count())},
+		sample{name: parts[0] + "Max", labels: "{" + series + "}", value: fmt.Sprint(h.Max())})
+}
+
+// label returns a single label, empty where it has no value.
+func label(name, value string) string {
+	if value == "" {
+		return ""
+	}
+	return fmt.Sprintf("{%s=%q}", name, value)
+}
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -61,6 +61,13 @@
 	a.Update(func(b *balancer.Balancer) { b.Finished(time.Now(), id, result) })
 }
 
+// Waiting returns the number of calls in the queue.
+func (a *Assigner) Waiting() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.Len()
+}
+
 // IsLost reports whether an upstream is known to have ended.
 func (a *Assigner) IsLost(u foxtailwharf.Upstream) bool {
 	a.mu.Lock()
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,6 +55,7 @@
 	lastEvent string
 	waited    time.Duration // until the last attempt began
 	first     time.Duration // until the first event of a stream
+	eventAt   time.Time     // when the last event went to the caller
 	weights   int64         // version that has answered so far; 0 for none
 	// fault is an upstream's own answer that is passed on if no other gives a better one.
 	fault *wholeAnswer
@@ -102,6 +104,7 @@
 		case delivered:
 			x.log("A call was answered.", zap.String("Upstream", u.ID), zap.Int("Rank", x.rank.Urgency()),
 				zap.Duration("Waited", x.waited), zap.Duration("First", x.first))
+			x.measure()
 			return
 		case ended:
 			return
@@ -122,6 +125,21 @@
 	}
 }
 
+// measure notes the times of a call that was answered.
+func (x *exchange) measure() {
+	x.f.c.Recorder.Count(recorder.CounterAnswered)
+	x.time(recorder.MeasureQueue, x.waited)
+	if x.first > 0 {
+		x.time(recorder.MeasureFirst, x.first)
+	}
+	x.time(recorder.MeasureWhole, time.Since(x.started))
+}
+
+// time notes a duration for the call's account and its route's priority.
+func (x *exchange) time(m recorder.Measure, elapsed time.Duration) {
+	x.f.c.Recorder.Time(m, x.account, strconv.Itoa(x.rank.Route), elapsed)
+}
+
 func (x *exchange) mayRunAgain() bool {
 	return x.route.IsRepeatable() && x.runs < x.route.Attempts && x.f.barred(x.digest) == 0
 }
@@ -255,6 +273,11 @@
 	if _, err := x.w.Write(data); err != nil {
 		return errors.Wrap(err, "exchange.writeEvent")
 	}
+	now := time.Now()
+	if !x.eventAt.IsZero() {
+		x.time(recorder.MeasureBetween, now.Sub(x.eventAt))
+	}
+	x.eventAt = now
 	return http.NewResponseController(x.w).Flush()
 }
 
--- a/internal/request/relayer/output.go
+++ b/internal/request/relayer/output.go
@@ -72,7 +72,7 @@
 	if length >= 0 {
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
-	o.recorder.Time(recorder.MeasureFirst, o.identity.Account, o.rank, time.Since(o.started))
+	o.recorder.Time(recorder.MeasureFirst, o.identity.Account, string(o.rank), time.Since(o.started))
 	o.w.WriteHeader(answer.Status)
 }
 
@@ -93,7 +93,7 @@
 	}
 	now := time.Now()
 	if o.events > 0 {
-		o.recorder.Time(recorder.MeasureBetween, o.identity.Account, o.rank, now.Sub(o.lastWrite))
+		o.recorder.Time(recorder.MeasureBetween, o.identity.Account, string(o.rank), now.Sub(o.lastWrite))
 	}
 	o.lastWrite = now
 	o.events++
@@ -142,7 +142,7 @@
 }
 
 func (o *output) noteWhole() {
-	o.recorder.Time(recorder.MeasureWhole, o.identity.Account, o.rank, time.Since(o.started))
+	o.recorder.Time(recorder.MeasureWhole, o.identity.Account, string(o.rank), time.Since(o.started))
 }
 
 // cost returns the tokens of the answer so far: one for each event of a stream.
--- a/internal/request/runner/runner.go
+++ b/internal/request/runner/runner.go
@@ -230,7 +230,7 @@
 func (r *Runner) wait(ctx context.Context, turn *dispatcher.Turn, attempt wire.Attempt) *foxtailwharf.Refusal {
 	started := time.Now()
 	refusal := turn.Wait(ctx)
-	r.c.Recorder.Time(recorder.MeasureQueue, attempt.Account, foxtailwharf.Rank(attempt.Rank), time.Since(started))
+	r.c.Recorder.Time(recorder.MeasureQueue, attempt.Account, attempt.Rank, time.Since(started))
 	return refusal
 }
 
@@ -276,7 +276,7 @@
 
 func (r *Runner) noteFirst(attempt wire.Attempt, elapsed time.Duration) {
 	rank := foxtailwharf.Rank(attempt.Rank)
-	r.c.Recorder.Time(recorder.MeasureFirst, attempt.Account, rank, elapsed)
+	r.c.Recorder.Time(recorder.MeasureFirst, attempt.Account, string(rank), elapsed)
 	r.c.First(rank, elapsed)
 }
 
