Weights yield to calls on full links, and calls go past them

Weighed: delays of transfers (the sender's window hides them), the agent's own rate (it does not know the other direction). Datagrams bear the sender's clock; what they wait beyond the least of the last seconds is the queue.

--- a/cmd/foxtailwharf/fleet.go
+++ b/cmd/foxtailwharf/fleet.go
@@ -97,6 +97,7 @@
 		Origin:   platform.NewOrigin(network),
 		Network:  network,
 		Packets:  notifier.UDP{},
+		Clock:    clocker.Boot,
 		Log:      log,
 		Seed:     newSeed(),
 	})
--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -146,7 +146,8 @@
 // sendNotice sends the list along only where the agent has another one that is not newer.
 // Entries of the agent's own failure domain do so, and the others while the agent has none.
 func (d *Distributor) sendNotice(u foxtailwharf.Upstream, notice wire.FleetNotice, domains []wire.FleetDomain) {
-	held := d.listOf(u.Address.Addr())
+	held, delay := d.listOf(u.Address.Addr())
+	notice.SentMicros, notice.ReportDelayMillis = d.c.Clock().Microseconds(), delay.Milliseconds()
 	isNear := u.FailureDomain == d.c.Settings.FailureDomain
 	if held.digest != notice.Digest && held.revision <= notice.ListRevision && (isNear || held.digest == "") {
 		notice.Domains = domains
@@ -154,19 +155,33 @@
 	d.notifier.Send(d.c.Settings.Peers(u.Address.Addr()), notice)
 }
 
-func (d *Distributor) listOf(address netip.Addr) heldList {
+// listOf returns the list that an agent has, and how long its last report waited.
+func (d *Distributor) listOf(address netip.Addr) (heldList, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.lists[address]
+	now := time.Now()
+	delay, isKnown := d.gauger.Delay(now, address)
+	if isKnown {
+		delay -= d.gauger.Least(now)
+	}
+	return d.lists[address], delay
 }
 
 // hearReport takes in an agent's report.
 func (d *Distributor) hearReport(from netip.AddrPort, data []byte) {
+	arrived := d.c.Clock()
 	var report wire.FleetReport
 	if err := json.Unmarshal(data, &report); err != nil {
 		d.c.Log.Debug("entry: A report cannot be read.", zap.Stringer("From", from), zap.Error(err))
 		return
 	}
+	now := time.Now()
+	d.mu.Lock()
+	delay := d.gauger.Note(now, from.Addr(), time.Duration(report.SentMicros)*time.Microsecond, arrived)
+	// What all reports have in common is the wait on the own link.
+	delay -= d.gauger.Least(now)
+	d.mu.Unlock()
+	d.noteLink(from.Addr(), delay, time.Duration(report.LinkDelayMillis)*time.Millisecond)
 	d.assigner.Report(from.Addr(), foxtailwharf.UpstreamLoad{
 		Born:      time.UnixMilli(report.BornMillis),
 		Weights:   report.Weights,
@@ -175,6 +190,7 @@
 		IsLoading: report.IsLoading,
 		IsDown:    report.IsDown,
 		Listeners: report.Listeners,
+		LinkDelay: delay + time.Duration(report.LinkDelayMillis)*time.Millisecond,
 	})
 	d.mu.Lock()
 	d.lists[from.Addr()] = heldList{digest: report.Digest, revision: report.ListRevision}
@@ -186,6 +202,23 @@
 	}
 }
 
+// noteLink logs that a machine's link has become full, or free again.
+func (d *Distributor) noteLink(machine netip.Addr, from, to time.Duration) {
+	isFull := from+to >= balancer.FullLink
+	d.mu.Lock()
+	wasFull := d.fullLinks[machine]
+	if isFull {
+		d.fullLinks[machine] = true
+	} else {
+		delete(d.fullLinks, machine)
+	}
+	d.mu.Unlock()
+	if isFull != wasFull {
+		d.c.Log.Info("entry: A machine's link has changed.", zap.Stringer("Machine", machine), zap.Bool("Full", isFull),
+			zap.Duration("WaitFrom", from), zap.Duration("WaitTo", to))
+	}
+}
+
 // greet answers an agent that has just started, before the store lists its upstream.
 func (d *Distributor) greet(to netip.AddrPort, report wire.FleetReport) {
 	v := d.follower.View()
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -17,6 +17,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/exchanger"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/gauger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
@@ -89,6 +90,8 @@
 	agents      []foxtailwharf.Upstream // of all engines
 	chosen      []foxtailwharf.Upstream // those with which this entry exchanges messages
 	lists       map[netip.Addr]heldList // that each agent has
+	gauger      *gauger.Gauger          // of the agents' reports
+	fullLinks   map[netip.Addr]bool     // machines whose links are full, for the log
 	entries     map[netip.AddrPort]otherEntry
 	relier      *relier.Relier
 	meetBy      time.Time // until when the store waits for word of the other entries
@@ -106,15 +109,17 @@
 // New builds an entry that has not started.
 func New(c Config) *Distributor {
 	d := &Distributor{
-		c:        c,
-		recorder: recorder.New(),
-		messages: messenger.NewServer(),
-		client:   messenger.NewClient(c.Network),
-		named:    make(map[string][]named),
-		lists:    make(map[netip.Addr]heldList),
-		news:     make(chan struct{}, 1),
-		entries:  make(map[netip.AddrPort]otherEntry),
-		relier:   relier.New(relier.Config{Self: c.Settings.Peers(c.Settings.Address), Started: time.Now()}),
+		c:         c,
+		recorder:  recorder.New(),
+		messages:  messenger.NewServer(),
+		client:    messenger.NewClient(c.Network),
+		named:     make(map[string][]named),
+		lists:     make(map[netip.Addr]heldList),
+		gauger:    gauger.New(),
+		fullLinks: make(map[netip.Addr]bool),
+		news:      make(chan struct{}, 1),
+		entries:   make(map[netip.AddrPort]otherEntry),
+		relier:    relier.New(relier.Config{Self: c.Settings.Peers(c.Settings.Address), Started: time.Now()}),
 	}
 	if len(c.Settings.Seeds) > 0 {
 		d.meetBy = time.Now().Add(meetTime)
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/gauger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
@@ -25,6 +26,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/version/fetcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/sourcer"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/throttler"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/uploader"
 )
 
@@ -38,6 +40,11 @@
 	// downloads is the number of chunks that are fetched at a time: more would queue on a
 	// narrow link before the engine's calls.
 	downloads = 6
+	// blockBytes is how much of a chunk is sent at once: calls on a narrow link wait for no
+	// more.
+	blockBytes = 8 << 10
+	// noticeFresh is how long an entry's word on the agent's reports counts.
+	noticeFresh = 1500 * time.Millisecond
 	// neighbours is the number of agents with which chunks are exchanged.
 	neighbours = 16
 	// patience, sponsorWait and stall are the times of the fetcher, for chunks that take
@@ -57,8 +64,10 @@
 	Origin   Origin
 	Network  foxtailwharf.Network
 	Packets  notifier.Packets
-	Log      *zap.Logger
-	Seed     uint64
+	// Clock is that of the machine; it also counts while the machine is suspended.
+	Clock func() time.Duration
+	Log   *zap.Logger
+	Seed  uint64
 }
 
 // Origin is the origin of weights, whose address the entries tell.
@@ -81,7 +90,9 @@
 	notifier  *notifier.Notifier
 	recorder  *recorder.Recorder
 	server    *server.Server
-	metrics   *server.Server // nil where the settings do not ask for it
+	metrics   *server.Server       // nil where the settings do not ask for it
+	throttler *throttler.Throttler // under mu
+	gauger    *gauger.Gauger       // of the entries' notices; under mu
 	reporter  *reporter
 	installer *install
 	cancel    context.CancelFunc
@@ -102,7 +113,8 @@
 // entry is an entry that has sent a notice.
 type entry struct {
 	heard  time.Time
-	domain string // failure domain
+	domain string        // failure domain
+	delay  time.Duration // of the agent's reports there
 }
 
 // notice is what the entries have told.
@@ -123,9 +135,11 @@
 		recorder: recorder.New(),
 		entries:  make(map[netip.AddrPort]entry),
 		digests:  make(map[foxtailwharf.Release]string),
+		gauger:   gauger.New(),
 	}
 	rate := int64(c.Settings.LinkMegabits * 1e6 / bitsPerByte * uploadPart)
-	p.uploader = uploader.New(uploader.Config{Holder: p.holder, Uploads: uploads, Rate: rate})
+	p.throttler = throttler.New(throttler.Config{Downloads: downloads, Rate: rate})
+	p.uploader = uploader.New(uploader.Config{Holder: p.holder, Uploads: uploads, Rate: rate, Block: blockBytes})
 	p.fetcher = fetcher.New(fetcher.Config{
 		Self:         p.self,
 		Holders:      p.holders,
@@ -141,7 +155,7 @@
 		Patience:     patience,
 		Wait:         sponsorWait,
 		Stall:        stall,
-		IsPressed:    func() bool { return false },
+		Allowed:      p.allowedDownloads,
 		Random:       rand.New(rand.NewPCG(c.Seed, foxtailwharf.Score(c.Settings.Name, "fetcher"))),
 		Log:          c.Log,
 	})
@@ -150,6 +164,34 @@
 	return p
 }
 
+// allowedDownloads returns how many chunks may be fetched at a time.
+func (p *Provisioner) allowedDownloads() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.throttler.Downloads()
+}
+
+// throttle makes the transfers of weights follow the waits on the machine's link. It returns
+// the wait of what is sent to the machine. The caller holds the lock.
+func (p *Provisioner) throttle(now time.Time) time.Duration {
+	down := p.gauger.Least(now)
+	p.throttler.Note(now, down, p.reportDelay(now))
+	p.uploader.SetRate(p.throttler.Rate())
+	return down
+}
+
+// reportDelay returns the wait of what the machine sends: the least that an entry sees, since
+// the links of others may be full.
+func (p *Provisioner) reportDelay(now time.Time) (least time.Duration) {
+	isFirst := true
+	for _, e := range p.entries {
+		if now.Sub(e.heard) < noticeFresh && (isFirst || e.delay < least) {
+			least, isFirst = e.delay, false
+		}
+	}
+	return least
+}
+
 // self is this agent as the others know it: by the machine.
 func (p *Provisioner) self() foxtailwharf.Instance {
 	return p.instance(p.c.Settings.Address, p.c.Settings.FailureDomain)
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -140,13 +140,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	report = wire.FleetReport{
-		BornMillis: p.load.Born.UnixMilli(),
-		Weights:    p.load.Weights,
-		Running:    p.load.Running,
-		Queued:     p.load.Queued,
-		IsLoading:  p.load.IsLoading,
-		IsDown:     p.load.IsDown,
-		Digest:     p.digest,
+		BornMillis:      p.load.Born.UnixMilli(),
+		Weights:         p.load.Weights,
+		Running:         p.load.Running,
+		Queued:          p.load.Queued,
+		IsLoading:       p.load.IsLoading,
+		IsDown:          p.load.IsDown,
+		Digest:          p.digest,
+		SentMicros:      p.c.Clock().Microseconds(),
+		LinkDelayMillis: p.throttle(now).Milliseconds(),
 		// Tells entries with an older list not to send it.
 		ListRevision: p.revision,
 	}
@@ -184,7 +186,8 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.entries[from] = entry{heard: now, domain: n.Domain}
+	p.entries[from] = entry{heard: now, domain: n.Domain, delay: time.Duration(n.ReportDelayMillis) * time.Millisecond}
+	p.gauger.Note(now, from.Addr(), time.Duration(n.SentMicros)*time.Microsecond, p.c.Clock())
 	if origin, err := netip.ParseAddrPort(n.Origin); err == nil {
 		p.c.Origin.SetAddress(origin)
 		p.originRegion = p.c.Settings.Regions[n.OriginDomain]
--- a/internal/process/worker/worker.go
+++ b/internal/process/worker/worker.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -182,7 +183,7 @@
 		Patience:   patience,
 		Wait:       sponsorWait,
 		Stall:      stallTime,
-		IsPressed:  w.uploader.IsPressed,
+		Allowed:    w.allowedDownloads,
 		Random:     w.random(),
 		Log:        w.c.Log,
 	})
@@ -226,6 +227,17 @@
 	return scheduler.Weights{Member: grant.Member.Weight, Account: grant.Account.Weight, Caller: grant.Caller.Weight}
 }
 
+// pressedDownloads is the number of chunks fetched at a time while requests are slow.
+const pressedDownloads = 1
+
+// allowedDownloads returns how many chunks may be fetched at a time.
+func (w *Worker) allowedDownloads() int {
+	if w.uploader.IsPressed() {
+		return pressedDownloads
+	}
+	return math.MaxInt
+}
+
 // Start listens and begins all duties. They end with Stop, or at once with the
 // context.
 func (w *Worker) Start(ctx context.Context) (err error) {
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -39,11 +39,18 @@
 	partFactor = 0.7
 	// blindFactor is the same for the places of an upstream that has not reported lately.
 	blindFactor = 1.2
+	// delayStep is the wait on an upstream's link that counts as much as one call in flight.
+	delayStep = 20 * time.Millisecond
 	// maxEjectedPart is the part of a service's upstreams that may be left out at once:
 	// faults of more than that are not the upstreams' own.
 	maxEjectedPart = 0.5
 )
 
+// FullLink is the wait on an upstream's link from which on it gets calls only where no other
+// does: they and their end would arrive late. A free link lets reports wait for a few
+// milliseconds, a full one drops them soon after this.
+const FullLink = 35 * time.Millisecond
+
 // Config holds the settings of a Balancer.
 type Config struct {
 	FailureDomain string
@@ -209,6 +216,23 @@
 	return u.Weights
 }
 
+// linkDelay returns the wait on the upstream's link, 0 where nothing was heard lately.
+func (u *upstream) linkDelay(now time.Time) time.Duration {
+	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) > downLife {
+		return 0
+	}
+	return u.load.LinkDelay
+}
+
+// isBehindFullLink reports whether calls would wait on the upstream's link: reports do, or
+// those of an agent that told before do not come.
+func (u *upstream) isBehindFullLink(now time.Time) bool {
+	if u.reportedAt.IsZero() {
+		return false
+	}
+	return u.load.LinkDelay >= FullLink || now.Sub(u.reportedAt) > reportLife
+}
+
 // occupied estimates the calls at the upstream.
 func (u *upstream) occupied(now time.Time) float64 {
 	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) > reportLife {
@@ -272,7 +296,7 @@
 		if !b.hasRoom(u, now, w) {
 			continue
 		}
-		cost := occupied + b.c.Random.Float64()
+		cost := occupied + b.c.Random.Float64() + float64(u.linkDelay(now))/float64(delayStep)
 		if u.FailureDomain != b.c.FailureDomain {
 			cost += farCost
 		}
@@ -287,22 +311,28 @@
 }
 
 // candidates returns the upstreams that may get the call. Those with many faults are
-// left out while enough others remain, and those whose agents do not report here while any
-// others do.
+// left out while enough others remain, those behind full links while there are any others, and
+// those whose agents do not report here while there are any that do.
 func (b *Balancer) candidates(now time.Time, w Want) []*upstream {
-	var sound, ejected, silent []*upstream
+	var sound, ejected, silent, delayed []*upstream
 	for _, u := range b.byService[w.Service] {
 		switch {
 		case !b.takes(u, now, w):
 		case w.IsModel && b.chosen != nil && !b.chosen[u.ID]:
 			silent = append(silent, u)
+		case u.isBehindFullLink(now):
+			delayed = append(delayed, u)
 		case u.ejectedUntil.After(now):
 			ejected = append(ejected, u)
 		default:
 			sound = append(sound, u)
 		}
 	}
-	if len(sound)+len(ejected) == 0 {
+	switch {
+	case len(sound)+len(ejected) > 0:
+	case len(delayed) > 0:
+		return delayed
+	default:
 		return silent
 	}
 	if len(sound) == 0 || float64(len(ejected)) > maxEjectedPart*float64(len(ejected)+len(sound)) {
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -92,6 +92,35 @@
 	}
 }
 
+// TestFullLinks checks that calls go past upstreams whose reports wait or stay out while there
+// are others, and to them where there are none.
+func TestFullLinks(t *testing.T) {
+	b := newBalancer(listed(1, "near", 1), listed(2, "near", 1), listed(3, "near", 1))
+	b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1})
+	b.Report(start, machine(2), foxtailwharf.UpstreamLoad{Weights: 1, LinkDelay: 50 * time.Millisecond})
+	b.Report(start.Add(-time.Second), machine(3), foxtailwharf.UpstreamLoad{Weights: 1})
+	pick := func(exclude ...string) map[string]bool {
+		want := model
+		want.Exclude = make(map[string]bool)
+		for _, id := range exclude {
+			want.Exclude[id] = true
+		}
+		have := make(map[string]bool)
+		for range 50 {
+			if u, isFound, _ := b.Pick(start, want); isFound {
+				have[u.ID] = true
+			}
+		}
+		return have
+	}
+	if have := pick(); fmt.Sprint(have) != "map[u1:true]" {
+		t.Errorf("have %v, want the one behind a free link", have)
+	}
+	if have := pick("u1"); len(have) == 0 {
+		t.Error("no call is sent though two upstreams take some")
+	}
+}
+
 // entries is the number of entries that share the upstreams in a round.
 const entries = 8
 
--- a/internal/version/fetcher/fetcher.go
+++ b/internal/version/fetcher/fetcher.go
@@ -30,8 +30,6 @@
 const (
 	// defaultDownloads is the number of chunks fetched at a time.
 	defaultDownloads = 12
-	// pressedDownloads is that number while requests are slow.
-	pressedDownloads = 1
 	// tick is the longest time between two looks at what could be fetched.
 	tick = 100 * time.Millisecond
 	// tellInterval is the least time between two tellings to one neighbour.
@@ -65,9 +63,10 @@
 	Patience  time.Duration // time without progress after which the next sponsor takes over
 	Wait      time.Duration // time for which a sponsor is asked to hold a request
 	Stall     time.Duration // time without a byte after which a download is given up
-	IsPressed func() bool
-	Random    *rand.Rand
-	Log       *zap.Logger
+	// Allowed returns how many of Downloads may run now.
+	Allowed func() int
+	Random  *rand.Rand
+	Log     *zap.Logger
 }
 
 // Fetcher fetches one version at a time.
@@ -87,6 +86,9 @@
 	if c.Downloads == 0 {
 		c.Downloads = defaultDownloads
 	}
+	if c.Allowed == nil {
+		c.Allowed = func() int { return c.Downloads }
+	}
 	return &Fetcher{c: c, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
--- a/internal/version/fetcher/session.go
+++ b/internal/version/fetcher/session.go
@@ -143,10 +143,7 @@
 
 // start begins as many downloads as may run.
 func (s *session) start(ctx context.Context) {
-	limit := s.f.c.Downloads
-	if s.f.c.IsPressed() {
-		limit = pressedDownloads
-	}
+	limit := min(s.f.c.Allowed(), s.f.c.Downloads)
 	for s.running < limit {
 		s.mu.Lock()
 		fetch, isFound := s.selector.Next(time.Now())
--- a/internal/version/pacer/pacer.go
+++ b/internal/version/pacer/pacer.go
@@ -27,6 +27,11 @@
 	return &Pacer{rate: float64(rate)}
 }
 
+// SetRate changes the rate, in bytes a second; 0 for no limit.
+func (p *Pacer) SetRate(rate int64) {
+	p.rate = float64(rate)
+}
+
 // Press notes that a request's first token came later than its target.
 func (p *Pacer) Press(now time.Time) {
 	p.pressed = now.Add(pressureTime)
--- a/internal/version/uploader/uploader.go
+++ b/internal/version/uploader/uploader.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	blockBytes = 64 << 10
+	// defaultBlock is the number of bytes of a chunk that are sent at once.
+	defaultBlock = 64 << 10
 	// slotWait is how long a request waits for an upload slot before it is told to
 	// try another agent.
 	slotWait = 50 * time.Millisecond
@@ -33,6 +34,9 @@
 	Holder  *holder.Holder
 	Uploads int   // at a time
 	Rate    int64 // bytes a second; 0 for no limit
+	// Block is the number of bytes that are sent at once, which other traffic may have to wait
+	// for; 0 for the default.
+	Block int
 }
 
 // Uploader is an http.Handler for manifests and chunks.
@@ -47,9 +51,19 @@
 
 // New returns an uploader.
 func New(c Config) *Uploader {
+	if c.Block == 0 {
+		c.Block = defaultBlock
+	}
 	return &Uploader{c: c, slots: make(chan struct{}, c.Uploads), pacer: pacer.New(c.Rate)}
 }
 
+// SetRate changes the rate in bytes a second.
+func (u *Uploader) SetRate(rate int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pacer.SetRate(rate)
+}
+
 // Press slows uploads for a while, because requests are slow.
 func (u *Uploader) Press() {
 	u.mu.Lock()
@@ -119,7 +133,7 @@
 func (u *Uploader) send(w http.ResponseWriter, r *http.Request, data []byte) {
 	controller := http.NewResponseController(w)
 	for len(data) > 0 {
-		block := data[:min(blockBytes, len(data))]
+		block := data[:min(u.c.Block, len(data))]
 		data = data[len(block):]
 		if !pauser.Sleep(r.Context(), u.reserve(len(block))) {
 			return
--- a/standin/listing/listing.go
+++ b/standin/listing/listing.go
@@ -274,7 +274,8 @@
 	s := e.f.settings(kindEngine, e.n, fmt.Sprintf("agent-%d", e.n))
 	s.Upstream, s.Service = e.address(), Service
 	e.agent = provisioner.New(provisioner.Config{
-		Settings: s, Slot: e.SlotEngine, Origin: e.f.Origin, Network: e.host, Packets: e.host, Log: zap.NewNop(), Seed: uint64(e.n) + 100,
+		Settings: s, Slot: e.SlotEngine, Origin: e.f.Origin, Network: e.host, Packets: e.host, Clock: e.f.clock,
+		Log: zap.NewNop(), Seed: uint64(e.n) + 100,
 	})
 	ctx, e.stopping = context.WithCancel(ctx)
 	return errors.Wrap(e.agent.Start(ctx), "Engine.StartAgent")
--- a/upstream.go
+++ b/upstream.go
@@ -29,4 +29,6 @@
 	IsDown    bool // does not answer the agent
 	// Listeners is the number of entries that get the agent's reports; 0 where it does not say.
 	Listeners int
+	// LinkDelay is how long traffic to and from the upstream's machine waits on its link.
+	LinkDelay time.Duration
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -330,6 +330,12 @@
 	// version of the weights that the upstream should hold; 0 for none named
 	Release int64 `json:"Release,omitempty,omitzero"`
 
+	// how long the agent's last report waited on its way
+	ReportDelayMillis int64 `json:"ReportDelayMillis,omitempty,omitzero"`
+
+	// the entry's clock at the sending
+	SentMicros int64 `json:"SentMicros,omitempty,omitzero"`
+
 	// name of the service of the agent's upstream
 	Service string `json:"Service,omitempty,omitzero"`
 }
@@ -377,6 +383,9 @@
 	// takes nothing new until the weights are loaded
 	IsLoading bool `json:"IsLoading,omitempty,omitzero"`
 
+	// how long what is sent to the machine waits on its link
+	LinkDelayMillis int64 `json:"LinkDelayMillis,omitempty,omitzero"`
+
 	// of the store, that of the list which Digest is of
 	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
 
@@ -398,6 +407,9 @@
 	// Running corresponds to the JSON schema field "Running".
 	Running int `json:"Running,omitempty,omitzero"`
 
+	// the agent's clock at the sending
+	SentMicros int64 `json:"SentMicros,omitempty,omitzero"`
+
 	// of the upstream; set while the entry may not know the agent
 	Service string `json:"Service,omitempty,omitzero"`
 
