Calls are placed by the prompts that engines have still to read

Now: an entry tells the agent of each call it sends (a datagram with the prompt's length), the agent estimates what is left to read and tells near entries at once; the time of reading is part of an engine's cost, and the less urgent leave engines with 50 or 100 ms to read alone. A call that finds no other waiting takes any free place instead of the entry's drawn part. Weighed: queues at the agents (a hop more), counts alone (before).

--- a/configuration.go
+++ b/configuration.go
@@ -81,6 +81,7 @@
 	StepPerCall  time.Duration // added to StepTime for each request of the batch
 	ReadRate     float64       // prompt tokens a second
 	Stride       int           // tokens written between two looks at what waits
+	Chunk        int           // prompt tokens read between two of them at the most; 0 for any number
 	UsualPrompt  float64       // tokens
 	UsualAnswer  float64       // tokens
 	Chunks       int           // of one version of the weights
@@ -88,6 +89,18 @@
 	LoadDuration time.Duration
 }
 
+// ReadPace returns how many prompt tokens a second an engine reads while all its slots write:
+// between two parts of prompts it writes some tokens of each answer. It is 0 where the engine's
+// rate is not known.
+func (e *EngineModel) ReadPace() float64 {
+	if e.ReadRate <= 0 || e.Chunk <= 0 {
+		return e.ReadRate
+	}
+	reading := float64(e.Chunk) / e.ReadRate
+	writing := time.Duration(e.Stride) * (e.StepTime + time.Duration(e.Slots)*e.StepPerCall)
+	return float64(e.Chunk) / (reading + writing.Seconds())
+}
+
 // CallLimits bound what a caller may send.
 type CallLimits struct {
 	HeaderBytes   int
--- a/fleetstore.go
+++ b/fleetstore.go
@@ -49,6 +49,8 @@
 	Sequence int64 // number of orders accepted
 	Running  int
 	Queued   int
+	// Slowness is how many times as long as usual the engine takes; 0 where it does not say.
+	Slowness float64
 }
 
 // ChunkSlot is a model engine that loads weights from chunks laid beside it.
--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -90,7 +90,10 @@
 func (d *Distributor) notice(v follower.View, service string) wire.FleetNotice {
 	c := v.Configuration
 	model := c.Services[service].Engine.Model
-	notice := wire.FleetNotice{Service: service, Model: model, Domain: d.c.Settings.FailureDomain, ListRevision: v.Revisions.Upstreams}
+	notice := wire.FleetNotice{
+		Service: service, Model: model, Domain: d.c.Settings.FailureDomain, ListRevision: v.Revisions.Upstreams,
+		ReadPace: int(c.Services[service].Engine.ReadPace()),
+	}
 	for _, s := range c.Services {
 		if s.Origin.IsValid() {
 			notice.Origin = s.Origin.String()
@@ -106,6 +109,11 @@
 	return notice
 }
 
+// placed tells an agent of a call that is sent to its engine.
+func (d *Distributor) placed(u foxtailwharf.Upstream, tokens int) {
+	d.notifier.Send(d.c.Settings.Peers(u.Address.Addr()), wire.FleetNotice{PlacedTokens: max(tokens, 1)})
+}
+
 // domainsOf lists the agents that stay, by failure domain.
 func domainsOf(list []foxtailwharf.Upstream) (domains []wire.FleetDomain) {
 	byName := make(map[string][]string)
@@ -190,6 +198,8 @@
 		IsLoading: report.IsLoading,
 		IsDown:    report.IsDown,
 		Listeners: report.Listeners,
+		Reading:   float64(report.ReadingTokens),
+		Slowness:  report.Slowness,
 		LinkDelay: delay + time.Duration(report.LinkDelayMillis)*time.Millisecond,
 	})
 	d.mu.Lock()
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -135,6 +135,7 @@
 		Clock:     c.Clock,
 		ProofLife: c.Settings.KeyLife - proofMargin,
 		Ration:    rationer.Config{Ratio: c.Settings.RepeatRatio * repeatPart, Window: c.Settings.RepeatWindow, Extra: d.repeatExtra(1)},
+		Placed:    d.placed,
 		Warn:      d.warn,
 		Random:    d.random("calls"),
 		Log:       c.Log,
--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -273,10 +273,7 @@
 	i.p.mu.Lock()
 	i.p.load.IsLoading = isLoading
 	i.p.mu.Unlock()
-	select {
-	case i.p.reporter.wake <- struct{}{}:
-	default:
-	}
+	i.p.reporter.signal()
 }
 
 // search takes in the chunks of the release that lie beside the engine.
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -23,6 +23,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/pauser"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/recorder"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/estimator"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/fetcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/sourcer"
@@ -107,6 +108,7 @@
 	originRegion string
 	originRate   int64 // in bytes a second; 0 where it is not known
 	load         foxtailwharf.UpstreamLoad
+	estimator    estimator.Estimator             // of what the engine has to read
 	digests      map[foxtailwharf.Release]string // of manifests
 }
 
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -52,15 +52,35 @@
 	for {
 		r.look(ctx)
 		r.tell()
+		if !r.await(ctx, ticker.C) {
+			return
+		}
+	}
+}
+
+// await blocks until the next look is due, and tells meanwhile what entries and the installer
+// say; false where the context has ended.
+func (r *reporter) await(ctx context.Context, due <-chan time.Time) bool {
+	for {
 		select {
-		case <-ticker.C:
+		case <-due:
+			return true
 		case <-r.wake:
+			r.tell()
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
 
+// signal makes the reporter tell soon.
+func (r *reporter) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // look asks the engine for its state.
 func (r *reporter) look(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lookTime)
@@ -78,6 +98,8 @@
 	r.p.load.Born, r.p.load.Weights = r.state.Born, r.state.Weights
 	r.p.load.Running, r.p.load.Queued = r.state.Running, r.state.Queued
 	r.p.load.IsDown = isDown
+	r.p.load.Slowness = r.state.Slowness
+	r.p.estimator.Look(time.Now(), r.state.Running+r.state.Queued)
 	r.p.mu.Unlock()
 }
 
@@ -131,7 +153,7 @@
 
 // isSame reports whether two reports say the same of the engine.
 func isSame(a, b wire.FleetReport) bool {
-	return !isUrgent(a, b) && a.Running == b.Running && a.Queued == b.Queued && a.Digest == b.Digest
+	return !isUrgent(a, b) && a.Running == b.Running && a.Queued == b.Queued && a.ReadingTokens == b.ReadingTokens && a.Digest == b.Digest
 }
 
 // report writes the report and returns the entries to send it to.
@@ -143,7 +165,9 @@
 		BornMillis:      p.load.Born.UnixMilli(),
 		Weights:         p.load.Weights,
 		Running:         p.load.Running,
-		Queued:          p.load.Queued,
+		Queued:          p.load.Queued + p.estimator.Placed(),
+		ReadingTokens:   int(p.estimator.Tokens(now)),
+		Slowness:        p.load.Slowness,
 		IsLoading:       p.load.IsLoading,
 		IsDown:          p.load.IsDown,
 		Digest:          p.digest,
@@ -186,6 +210,12 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if n.PlacedTokens > 0 {
+		p.estimator.Place(now, n.PlacedTokens)
+		p.reporter.signal()
+		return
+	}
+	p.estimator.SetPace(now, float64(n.ReadPace))
 	p.entries[from] = entry{heard: now, domain: n.Domain, delay: time.Duration(n.ReportDelayMillis) * time.Millisecond}
 	p.gauger.Note(now, from.Addr(), time.Duration(n.SentMicros)*time.Microsecond, p.c.Clock())
 	if origin, err := netip.ParseAddrPort(n.Origin); err == nil {
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -153,14 +153,16 @@
 			return
 		}
 		w := a.waiters[item.ID]
-		u, isFound, _ := a.balancer.Pick(now, w.ask.Want)
+		want := w.ask.Want
+		want.IsAlone = a.queue.Len() == 1
+		u, isFound, _ := a.balancer.Pick(now, want)
 		if !isFound {
 			full[kind{item.Service, item.Rank}] = true
 			continue
 		}
 		a.queue.Remove(item.ID)
 		delete(a.waiters, item.ID)
-		a.balancer.Sent(u.ID)
+		a.balancer.Sent(now, u.ID, w.ask.Want.Tokens)
 		w.granted <- u
 	}
 }
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -41,6 +41,11 @@
 	blindFactor = 1.2
 	// delayStep is the wait on an upstream's link that counts as much as one call in flight.
 	delayStep = 20 * time.Millisecond
+	// readingStep is the time of reading that counts as much as one call in flight.
+	readingStep = 10 * time.Millisecond
+	// hearTime is how long an agent takes to hear of a call and to tell: one that was sent
+	// before is in its report.
+	hearTime = 25 * time.Millisecond
 	// maxEjectedPart is the part of a service's upstreams that may be left out at once:
 	// faults of more than that are not the upstreams' own.
 	maxEjectedPart = 0.5
@@ -68,6 +73,15 @@
 	Weights int64
 	// Room is how many calls more than its slots, or less, an upstream may hold.
 	Room float64
+	// Tokens is the length of the call's prompt, and ReadPace what an upstream reads of prompts
+	// in a second; 0 where it is not known.
+	Tokens   int
+	ReadPace float64
+	// MaxReading is how long an upstream may still read the prompts that it has; 0 for any time.
+	MaxReading time.Duration
+	// IsAlone says that no other call waits at this entry: then others do not wait for the same
+	// free place elsewhere either, and the entry may take any.
+	IsAlone bool
 }
 
 // Balancer holds what one entry knows of the upstreams.
@@ -99,12 +113,19 @@
 	others       float64   // calls of other entries at the report
 	sent         int       // own calls sent since the report, less those that ended
 	draw         float64   // random, new with each report
-	faults       int       // in a row
+	placed       []placement
+	faults       int // in a row
 	ejections    int
 	ejectedUntil time.Time
 	notRunUntil  time.Time
 }
 
+// placement is a call that this entry sent, and the agent may not have heard of at its report.
+type placement struct {
+	at     time.Time
+	tokens int
+}
+
 // New returns a balancer that knows no upstreams.
 func New(c Config) *Balancer {
 	return &Balancer{
@@ -206,6 +227,33 @@
 	u.others = max(float64(load.Running+load.Queued-u.own), 0)
 	u.sent = 0
 	u.draw = b.c.Random.Float64()
+	u.placed = slices.DeleteFunc(u.placed, func(p placement) bool { return now.Sub(p.at) > hearTime })
+}
+
+// reading estimates how long the upstream still reads the prompts that it has.
+func (u *upstream) reading(now time.Time, w Want) time.Duration {
+	if w.ReadPace <= 0 {
+		return 0
+	}
+	tokens := max(u.load.Reading-w.ReadPace*now.Sub(u.reportedAt).Seconds(), 0)
+	if u.reportedAt.IsZero() || now.Sub(u.reportedAt) > reportLife {
+		tokens = 0
+	}
+	for _, p := range u.placed {
+		tokens += float64(p.tokens)
+	}
+	return time.Duration(tokens / w.ReadPace * max(u.load.Slowness, 1) * float64(time.Second))
+}
+
+// cost ranks an upstream for a call, in calls in flight; the least is best.
+func (b *Balancer) cost(u *upstream, now time.Time, w Want) float64 {
+	cost := u.occupied(now)*max(u.load.Slowness, 1) + b.c.Random.Float64()
+	cost += float64(u.linkDelay(now)) / float64(delayStep)
+	cost += float64(u.reading(now, w)) / float64(readingStep)
+	if u.FailureDomain != b.c.FailureDomain {
+		cost += farCost
+	}
+	return cost
 }
 
 // weights returns the version that an upstream holds by the newest word of it.
@@ -255,8 +303,11 @@
 	if u.load.Listeners > 0 {
 		entries = u.load.Listeners
 	}
-	if entries == 1 {
-		return free-float64(u.sent) >= 1
+	if w.MaxReading > 0 && u.reading(now, w) > w.MaxReading {
+		return false
+	}
+	if entries == 1 || w.IsAlone {
+		return free-float64(max(u.sent, 0)) >= 1
 	}
 	part := min(partFactor/float64(entries), 1)
 	return math.Floor(max(free, 0)*part+u.draw)-float64(u.sent) >= 1 && (free > 0 || u.sent < 0)
@@ -292,14 +343,10 @@
 	var best *upstream
 	bestCost := 0.0
 	for _, u := range candidates {
-		occupied := u.occupied(now)
 		if !b.hasRoom(u, now, w) {
 			continue
 		}
-		cost := occupied + b.c.Random.Float64() + float64(u.linkDelay(now))/float64(delayStep)
-		if u.FailureDomain != b.c.FailureDomain {
-			cost += farCost
-		}
+		cost := b.cost(u, now, w)
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
@@ -341,11 +388,16 @@
 	return sound
 }
 
-// Sent notes that a call went to an upstream.
-func (b *Balancer) Sent(id string) {
-	if u := b.byID[id]; u != nil {
-		u.own++
-		u.sent++
+// Sent notes that a call with a prompt of so many tokens went to an upstream.
+func (b *Balancer) Sent(now time.Time, id string, tokens int) {
+	u := b.byID[id]
+	if u == nil {
+		return
+	}
+	u.own++
+	u.sent++
+	if tokens > 0 {
+		u.placed = append(u.placed, placement{at: now, tokens: tokens})
 	}
 }
 
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -136,7 +136,7 @@
 		if !isFound {
 			break
 		}
-		b.Sent(u.ID)
+		b.Sent(now, u.ID, 0)
 		to = append(to, u.ID)
 	}
 	for _, id := range to {
@@ -182,7 +182,7 @@
 		if !isFound || u.ID != "u1" {
 			t.Fatalf("have %s, want the upstream of the own failure domain while it has room", u.ID)
 		}
-		b.Sent(u.ID)
+		b.Sent(start, u.ID, 0)
 	}
 	if u, _, _ := b.Pick(start, model); u.ID != "u2" {
 		t.Errorf("have %q, want the other failure domain's upstream once the own one is full", u.ID)
@@ -192,7 +192,7 @@
 func TestFaultsEject(t *testing.T) {
 	b := newBalancer(listed(1, "near", 1), listed(2, "far", 1), listed(3, "far", 1))
 	for range 3 {
-		b.Sent("u1")
+		b.Sent(start, "u1", 0)
 		b.Finished(start, "u1", balancer.Failed)
 	}
 	for range 20 {
@@ -220,7 +220,7 @@
 // byte: others go elsewhere at once, not only after several more have waited as long.
 func TestSilentIsLeftOut(t *testing.T) {
 	b := newBalancer(listed(1, "near", 1), listed(2, "far", 1), listed(3, "far", 1))
-	b.Sent("u1")
+	b.Sent(start, "u1", 0)
 	b.Finished(start, "u1", balancer.Silent)
 	for range 20 {
 		if u, _, _ := b.Pick(start.Add(time.Second), model); u.ID == "u1" {
--- /dev/null
+++ b/internal/request/estimator/estimator_test.go
@@ -0,0 +1,64 @@
+package estimator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/request/estimator"
+)
+
+// TestReading plays calls at an engine that reads 10,000 tokens a second.
+func TestReading(t *testing.T) {
+	start := time.Unix(50, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	tests := []struct {
+		name string
+		play func(e *estimator.Estimator)
+		at   time.Time
+		want float64
+	}{
+		{"idle", func(*estimator.Estimator) {}, at(100), 0},
+		{"half read", func(e *estimator.Estimator) { e.Place(at(0), 2000) }, at(100), 1000},
+		{"read", func(e *estimator.Estimator) { e.Place(at(0), 2000) }, at(500), 0},
+		{"one after the other", func(e *estimator.Estimator) {
+			e.Place(at(0), 2000)
+			e.Place(at(50), 3000)
+		}, at(100), 4000},
+		{"not before it came", func(e *estimator.Estimator) {
+			e.Place(at(0), 100)
+			e.Place(at(1000), 100)
+		}, at(1000), 100},
+		{"the engine has nothing", func(e *estimator.Estimator) {
+			e.Place(at(0), 9000)
+			e.Look(at(10), 0)
+		}, at(20), 0},
+		{"the engine has calls", func(e *estimator.Estimator) {
+			e.Place(at(0), 9000)
+			e.Look(at(10), 1)
+		}, at(100), 8000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &estimator.Estimator{}
+			e.SetPace(start, 10_000)
+			tt.play(e)
+			if have := e.Tokens(tt.at); have < tt.want-1 || have > tt.want+1 {
+				t.Errorf("have %.0f tokens to read, want %.0f", have, tt.want)
+			}
+		})
+	}
+}
+
+// TestPlaced checks that calls count until the engine has been looked at.
+func TestPlaced(t *testing.T) {
+	now := time.Unix(50, 0)
+	e := &estimator.Estimator{}
+	e.Place(now, 10)
+	e.Place(now, 10)
+	if have := e.Placed(); have != 2 {
+		t.Errorf("have %d, want 2", have)
+	}
+	if e.Look(now, 2); e.Placed() != 0 {
+		t.Errorf("have %d after a look, want 0", e.Placed())
+	}
+}
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -167,10 +167,34 @@
 		a.GiveUp = x.deadline
 	} else {
 		a.Want.Room = modelRoom(x.rank)
+		a.Want.Tokens = x.call.PromptTokens
+		a.Want.ReadPace = x.service.Engine.ReadPace()
+		a.Want.MaxReading = maxReading(x.rank)
 	}
 	return a
 }
 
+// maxReading returns how long an engine may still read prompts for it to get another call: the
+// less urgent leave engines free to read for the most urgent, which wait for all prompts
+// before their own.
+func maxReading(rank queuer.Rank) time.Duration {
+	switch rank.Route {
+	case 0:
+		return 0
+	case 1:
+		return secondReading
+	default:
+		return lastReading
+	}
+}
+
+// Times of reading at an engine by priority: a quarter of the most urgent goal of the users'
+// kinds of call, and a half of that.
+const (
+	secondReading = 100 * time.Millisecond
+	lastReading   = 50 * time.Millisecond
+)
+
 // plainRoom is how many calls may queue at an upstream of a plain service.
 const plainRoom = 6
 
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -91,6 +91,7 @@
 		Clock:     func() time.Duration { return b.clock },
 		ProofLife: proofLife,
 		Ration:    rationer.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 20},
+		Placed:    func(foxtailwharf.Upstream, int) {},
 		Warn: func(context.Context) {
 			b.warned.Add(1)
 			b.tell()
--- a/upstream.go
+++ b/upstream.go
@@ -27,6 +27,10 @@
 	Queued    int
 	IsLoading bool // takes nothing new until the weights are loaded
 	IsDown    bool // does not answer the agent
+	// Reading is an estimate of the prompt tokens that the upstream has still to read.
+	Reading float64
+	// Slowness is how many times as long as usual the upstream takes; 0 where it does not say.
+	Slowness float64
 	// Listeners is the number of entries that get the agent's reports; 0 where it does not say.
 	Listeners int
 	// LinkDelay is how long traffic to and from the upstream's machine waits on its link.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -327,6 +327,13 @@
 	// bytes a second that the origin sends; 0 where it is not known
 	OriginRate int64 `json:"OriginRate,omitempty,omitzero"`
 
+	// prompt tokens of a call that the entry has just sent to the upstream; all else
+	// is left out then
+	PlacedTokens int `json:"PlacedTokens,omitempty,omitzero"`
+
+	// prompt tokens that an engine of the service reads a second while it writes
+	ReadPace int `json:"ReadPace,omitempty,omitzero"`
+
 	// version of the weights that the upstream should hold; 0 for none named
 	Release int64 `json:"Release,omitempty,omitzero"`
 
@@ -398,6 +405,9 @@
 	// Queued corresponds to the JSON schema field "Queued".
 	Queued int `json:"Queued,omitempty,omitzero"`
 
+	// estimate of the prompt tokens that the upstream has still to read
+	ReadingTokens int `json:"ReadingTokens,omitempty,omitzero"`
+
 	// version of the weights that the agent was told; left out with Entries
 	Release int64 `json:"Release,omitempty,omitzero"`
 
@@ -413,6 +423,9 @@
 	// of the upstream; set while the entry may not know the agent
 	Service string `json:"Service,omitempty,omitzero"`
 
+	// how many times as long as usual the upstream takes; 0 where it does not say
+	Slowness float64 `json:"Slowness,omitempty,omitzero"`
+
 	// version of the weights held whole; 0 for none
 	Weights int64 `json:"Weights,omitempty,omitzero"`
 }
