Datagrams that are missing count as having waited; they bear a number and a clock

Cause: full links drop datagrams after about 50 ms, so that the waits of those that come say little; squeezed links went unseen (trial: no wait over 50 ms on twelve squeezed machines). Now: each datagram begins with its number and its sender's clock; a machine's wait is the upper quartile of the last second's datagrams with those that are missing, the own link's the median of all.

--- a/internal/connection/gauger/gauger.go
+++ b/internal/connection/gauger/gauger.go
@@ -1,9 +1,10 @@
-// Package gauger estimates from the times in datagrams how long they wait in queues on their
-// way. Each datagram bears its sender's clock at its sending; the clocks of two machines
-// differ by an unknown but steady amount, so that the shortest difference seen from a sender
-// lately is taken for a way without queues, and what goes beyond it is the wait. It answers
-// links that are full or have become narrow: calls that queue before them come late, whoever
-// sends them. It does no I/O and holds no clock.
+// Package gauger estimates from datagrams how long traffic waits in queues on its way. Each
+// datagram bears its sender's clock at its sending; the clocks of two machines differ by an
+// unknown but steady amount, so that the shortest difference seen from a sender lately is taken
+// for a way without queues, and what goes beyond it is the wait. Full queues drop datagrams, so
+// those that are missing count as having waited long. It answers links that are full or have
+// become narrow: calls that queue before them come late, whoever sends them. It does no I/O and
+// holds no clock.
 package gauger
 
 import (
@@ -16,32 +17,44 @@
 const (
 	// span is how long a shortest difference counts, in halves: the last one and this one.
 	span = 5 * time.Second
-	// samples is the number of datagrams whose shortest wait counts.
-	samples = 3
 	// recent is how long a datagram says something about the queues of now.
-	recent = 1200 * time.Millisecond
+	recent = time.Second
+	// lostWait stands in for the wait of a datagram that is missing.
+	lostWait = 60 * time.Millisecond
+	// maxSamples bounds the datagrams of one sender that are remembered.
+	maxSamples = 32
+	// maxGap bounds the datagrams that one gap in a sender's numbers tells of.
+	maxGap = 8
+	// ownPart and commonPart are the quantiles that count: a few datagrams that are late or
+	// lost by chance are no full link.
+	ownPart    = 0.75
+	commonPart = 0.5
+	// commonInterval is how long a wait that all senders have in common is not worked out anew.
+	commonInterval = 100 * time.Millisecond
 )
 
 // Gauger estimates the waits of datagrams from many senders.
 type Gauger struct {
-	senders map[netip.Addr]*sender
+	senders  map[netip.Addr]*sender
+	common   time.Duration
+	commonAt time.Time
 }
 
 // sender is what is known of the datagrams of one machine.
 type sender struct {
-	last    time.Duration // shortest difference of the span before
-	this    time.Duration // and of this span
-	began   time.Time     // this span
-	hasLast bool
-	delays  [samples]time.Duration // of the last datagrams
-	count   int                    // of datagrams
-	heardAt time.Time
+	last     time.Duration // shortest difference of the span before
+	this     time.Duration // and of this span
+	began    time.Time     // this span
+	hasLast  bool
+	sequence int64 // of the last datagram
+	samples  []sample
+	heardAt  time.Time
 }
 
-// delay returns the shortest of the last waits: a process that was late to read is not a full
-// link.
-func (s *sender) delay() time.Duration {
-	return slices.Min(s.delays[:min(s.count, samples)])
+// sample is the wait of one datagram.
+type sample struct {
+	at   time.Time
+	wait time.Duration
 }
 
 // New returns a gauger that has heard nothing.
@@ -49,13 +62,18 @@
 	return &Gauger{senders: make(map[netip.Addr]*sender)}
 }
 
-// Note takes in a datagram that was sent at a time of the sender's clock and arrived at a time
-// of the own. It returns how long the sender's last ones waited at the least.
-func (g *Gauger) Note(now time.Time, from netip.Addr, sent, arrived time.Duration) time.Duration {
-	difference := arrived - sent
+// Stamp is what a datagram says of its sending.
+type Stamp struct {
+	Sequence int64         // grows by one with each datagram to this receiver
+	Sent     time.Duration // by the sender's clock
+}
+
+// Note takes in a datagram that arrived at a time of the own clock.
+func (g *Gauger) Note(now time.Time, from netip.Addr, stamp Stamp, arrived time.Duration) {
+	difference := arrived - stamp.Sent
 	s, isKnown := g.senders[from]
 	if !isKnown {
-		s = &sender{this: difference, began: now}
+		s = &sender{this: difference, began: now, sequence: stamp.Sequence - 1}
 		g.senders[from] = s
 	}
 	if now.Sub(s.began) > span {
@@ -67,34 +85,70 @@
 	if s.hasLast {
 		base = min(base, s.last)
 	}
-	s.delays[s.count%samples] = difference - base
-	s.count++
+	s.noteGap(now, stamp.Sequence)
+	s.add(sample{at: now, wait: difference - base})
 	s.heardAt = now
-	return s.delay()
 }
 
-// Delay returns how long a sender's last datagrams waited; false where it is too old to tell.
+// noteGap counts the datagrams that are missing before this one. A sender that started anew
+// counts from the beginning.
+func (s *sender) noteGap(now time.Time, sequence int64) {
+	missing := min(sequence-s.sequence-1, maxGap)
+	for range missing {
+		s.add(sample{at: now, wait: lostWait})
+	}
+	s.sequence = sequence
+}
+
+func (s *sender) add(one sample) {
+	if len(s.samples) >= maxSamples {
+		s.samples = slices.Delete(s.samples, 0, 1)
+	}
+	s.samples = append(s.samples, one)
+}
+
+// waits appends the waits of the datagrams that still say something.
+func (s *sender) waits(now time.Time, list []time.Duration) []time.Duration {
+	for _, one := range s.samples {
+		if now.Sub(one.at) <= recent {
+			list = append(list, one.wait)
+		}
+	}
+	return list
+}
+
+// Delay returns how long a sender's datagrams wait; false where none came lately.
 func (g *Gauger) Delay(now time.Time, from netip.Addr) (time.Duration, bool) {
 	s, isKnown := g.senders[from]
-	if !isKnown || now.Sub(s.heardAt) > recent {
+	if !isKnown {
 		return 0, false
 	}
-	return s.delay(), true
+	waits := s.waits(now, nil)
+	return quantile(waits, ownPart), len(waits) > 0
 }
 
-// Least returns the shortest wait of all senders' last datagrams: it is that of the own link,
-// since not all senders' links are full. It is 0 where nothing was heard lately.
-func (g *Gauger) Least(now time.Time) (least time.Duration) {
-	isFirst := true
+// Common returns the wait that the datagrams of all senders have in common, which is that on
+// the own link. It is 0 where nothing was heard lately.
+func (g *Gauger) Common(now time.Time) time.Duration {
+	if now.Sub(g.commonAt) < commonInterval {
+		return g.common
+	}
+	var waits []time.Duration
 	for from, s := range g.senders {
 		if now.Sub(s.heardAt) > 2*span {
 			delete(g.senders, from)
 			continue
 		}
-		delay, isKnown := g.Delay(now, from)
-		if isKnown && (isFirst || delay < least) {
-			least, isFirst = delay, false
-		}
+		waits = s.waits(now, waits)
+	}
+	g.common, g.commonAt = quantile(waits, commonPart), now
+	return g.common
+}
+
+func quantile(waits []time.Duration, part float64) time.Duration {
+	if len(waits) == 0 {
+		return 0
 	}
-	return least
+	slices.Sort(waits)
+	return waits[int(part*float64(len(waits)-1))]
 }
--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/gauger"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/wire"
@@ -155,7 +156,7 @@
 // Entries of the agent's own failure domain do so, and the others while the agent has none.
 func (d *Distributor) sendNotice(u foxtailwharf.Upstream, notice wire.FleetNotice, domains []wire.FleetDomain) {
 	held, delay := d.listOf(u.Address.Addr())
-	notice.SentMicros, notice.ReportDelayMillis = d.c.Clock().Microseconds(), delay.Milliseconds()
+	notice.ReportDelayMillis = delay.Milliseconds()
 	isNear := u.FailureDomain == d.c.Settings.FailureDomain
 	if held.digest != notice.Digest && held.revision <= notice.ListRevision && (isNear || held.digest == "") {
 		notice.Domains = domains
@@ -167,16 +168,21 @@
 func (d *Distributor) listOf(address netip.Addr) (heldList, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	return d.lists[address], d.reportDelay(time.Now(), address)
+}
+
+// reportDelay returns how long an agent's reports wait beyond what all have in common, which
+// is the wait on the own link. The caller holds the lock.
+func (d *Distributor) reportDelay(now time.Time, address netip.Addr) time.Duration {
 	delay, isKnown := d.gauger.Delay(now, address)
-	if isKnown {
-		delay -= d.gauger.Least(now)
+	if !isKnown {
+		return 0
 	}
-	return d.lists[address], delay
+	return max(delay-d.gauger.Common(now), 0)
 }
 
 // hearReport takes in an agent's report.
-func (d *Distributor) hearReport(from netip.AddrPort, data []byte) {
+func (d *Distributor) hearReport(from netip.AddrPort, stamp gauger.Stamp, data []byte) {
 	arrived := d.c.Clock()
 	var report wire.FleetReport
 	if err := json.Unmarshal(data, &report); err != nil {
@@ -185,9 +191,8 @@
 	}
 	now := time.Now()
 	d.mu.Lock()
-	delay := d.gauger.Note(now, from.Addr(), time.Duration(report.SentMicros)*time.Microsecond, arrived)
-	// What all reports have in common is the wait on the own link.
-	delay -= d.gauger.Least(now)
+	d.gauger.Note(now, from.Addr(), stamp, arrived)
+	delay := d.reportDelay(now, from.Addr())
 	d.mu.Unlock()
 	d.noteLink(from.Addr(), delay, time.Duration(report.LinkDelayMillis)*time.Millisecond)
 	d.assigner.Report(from.Addr(), foxtailwharf.UpstreamLoad{
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return errors.Wrap(err, "Distributor.Start")
 	}
-	d.notifier = notifier.New(notifier.Config{Socket: socket, Heard: d.hearReport, Log: d.c.Log})
+	d.notifier = notifier.New(notifier.Config{Socket: socket, Clock: d.c.Clock, Heard: d.hearReport, Log: d.c.Log})
 	messenger.Register(d.messages, methodVouch, d.vouch)
 	messenger.Register(d.messages, methodWarn, d.hearWarning)
 	messenger.Register(d.messages, methodMeet, d.hearMeeting)
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -176,7 +176,7 @@
 // throttle makes the transfers of weights follow the waits on the machine's link. It returns
 // the wait of what is sent to the machine. The caller holds the lock.
 func (p *Provisioner) throttle(now time.Time) time.Duration {
-	down := p.gauger.Least(now)
+	down := p.gauger.Common(now)
 	p.throttler.Note(now, down, p.reportDelay(now))
 	p.uploader.SetRate(p.throttler.Rate())
 	return down
@@ -239,7 +239,7 @@
 	if err != nil {
 		return errors.Wrap(err, "Provisioner.Start")
 	}
-	p.notifier = notifier.New(notifier.Config{Socket: socket, Heard: p.hearNotice, Log: p.c.Log})
+	p.notifier = notifier.New(notifier.Config{Socket: socket, Clock: p.c.Clock, Heard: p.hearNotice, Log: p.c.Log})
 	listener, err := p.c.Network.Listen(ctx, s.Peers(s.Address))
 	if err != nil {
 		_ = socket.Close()
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/gauger"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
@@ -171,7 +172,6 @@
 		IsLoading:       p.load.IsLoading,
 		IsDown:          p.load.IsDown,
 		Digest:          p.digest,
-		SentMicros:      p.c.Clock().Microseconds(),
 		LinkDelayMillis: p.throttle(now).Milliseconds(),
 		// Tells entries with an older list not to send it.
 		ListRevision: p.revision,
@@ -201,7 +201,8 @@
 }
 
 // hearNotice takes in an entry's notice.
-func (p *Provisioner) hearNotice(from netip.AddrPort, data []byte) {
+func (p *Provisioner) hearNotice(from netip.AddrPort, stamp gauger.Stamp, data []byte) {
+	arrived := p.c.Clock()
 	var n wire.FleetNotice
 	if err := json.Unmarshal(data, &n); err != nil {
 		p.c.Log.Debug("agent: A notice cannot be read.", zap.Stringer("From", from), zap.Error(err))
@@ -210,6 +211,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.gauger.Note(now, from.Addr(), stamp, arrived)
 	if n.PlacedTokens > 0 {
 		p.estimator.Place(now, n.PlacedTokens)
 		p.reporter.signal()
@@ -217,7 +219,6 @@
 	}
 	p.estimator.SetPace(now, float64(n.ReadPace))
 	p.entries[from] = entry{heard: now, domain: n.Domain, delay: time.Duration(n.ReportDelayMillis) * time.Millisecond}
-	p.gauger.Note(now, from.Addr(), time.Duration(n.SentMicros)*time.Microsecond, p.c.Clock())
 	if origin, err := netip.ParseAddrPort(n.Origin); err == nil {
 		p.c.Origin.SetAddress(origin)
 		p.originRegion = p.c.Settings.Regions[n.OriginDomain]
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -54,7 +54,7 @@
 // FullLink is the wait on an upstream's link from which on it gets calls only where no other
 // does: they and their end would arrive late. A free link lets reports wait for a few
 // milliseconds, a full one drops them soon after this.
-const FullLink = 35 * time.Millisecond
+const FullLink = 45 * time.Millisecond
 
 // Config holds the settings of a Balancer.
 type Config struct {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -340,9 +340,6 @@
 	// how long the agent's last report waited on its way
 	ReportDelayMillis int64 `json:"ReportDelayMillis,omitempty,omitzero"`
 
-	// the entry's clock at the sending
-	SentMicros int64 `json:"SentMicros,omitempty,omitzero"`
-
 	// name of the service of the agent's upstream
 	Service string `json:"Service,omitempty,omitzero"`
 }
@@ -417,9 +414,6 @@
 	// Running corresponds to the JSON schema field "Running".
 	Running int `json:"Running,omitempty,omitzero"`
 
-	// the agent's clock at the sending
-	SentMicros int64 `json:"SentMicros,omitempty,omitzero"`
-
 	// of the upstream; set while the entry may not know the agent
 	Service string `json:"Service,omitempty,omitzero"`
 
