Engines drain by the entries' word; a nearly whole release is completed; one copy after an outage

Now: what is nearly whole is completed from other agents first; engines follow each other from the moment at which the newer release is found stalled; an engine's calls end while entries send no more, and the last three are cut and go on elsewhere; agents tell each other that the origin fails, so that nobody takes over from sponsors. Ruled out: draws by a fixed few (before); truncating all calls (their prompts cost a third of the fleet's time on paper and twice the budget of repeats).

--- a/fleetstore.go
+++ b/fleetstore.go
@@ -60,9 +60,10 @@
 	Staged(ctx context.Context, model string) ([]int, error)
 	StagedChunk(ctx context.Context, model string, number int) ([]byte, error)
 	Stage(ctx context.Context, model string, number int, data []byte) error
-	// Load orders the engine to load what lies there, after what it runs. The order is
-	// refused unless the engine has accepted exactly sequence orders before.
-	Load(ctx context.Context, release Release, sequence int64) error
+	// Load orders the engine to load what lies there, after what it runs, or at once with
+	// isCut, which ends what it runs. The order is refused unless the engine has accepted
+	// exactly sequence orders before.
+	Load(ctx context.Context, release Release, sequence int64, isCut bool) error
 }
 
 // ReleaseOrigin tells the manifests of releases, and gives their chunks.
--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -53,6 +53,8 @@
 	isSearched bool
 	born       time.Time // of the engine that was last seen
 	orderedAt  time.Time // zero while no load is on its way
+	// drainedAt is when the entries were told to send no more calls; zero for not yet.
+	drainedAt time.Time
 }
 
 // bundle is a release with its chunks.
@@ -69,6 +71,8 @@
 	advanced time.Time
 	// wholeAge is the age of the release at which all its chunks were there; 0 before.
 	wholeAge time.Duration
+	// leftAlone is the age of the release at which the newer one stalled; 0 before.
+	leftAlone time.Duration
 }
 
 func (i *install) run(ctx context.Context) {
@@ -142,6 +146,9 @@
 	now := time.Now()
 	i.newest = &bundle{release: n.release, named: n.named, wanted: now, advanced: now}
 	i.isOnPrevious = false
+	if i.orderedAt.IsZero() && !i.drainedAt.IsZero() {
+		i.endLoad()
+	}
 }
 
 // see takes in the engine's state.
@@ -166,7 +173,7 @@
 
 // endLoad ends the wait for a load.
 func (i *install) endLoad() {
-	i.orderedAt = time.Time{}
+	i.orderedAt, i.drainedAt = time.Time{}, time.Time{}
 	i.setLoading(false)
 }
 
@@ -231,16 +238,31 @@
 		IsBusy:   !i.orderedAt.IsZero(),
 		IsWhole:  i.isWhole(b),
 		IsStaged: time.Since(b.checked) < freshTime,
+		Running:  load.Running + load.Queued,
 		Turn:     i.turn(b, load.Weights),
 	}
+	if !i.drainedAt.IsZero() {
+		facts.Drained = time.Since(i.drainedAt)
+	}
 	switch installer.Next(facts) {
 	case installer.StepStage:
 		return i.stage(ctx, b)
+	case installer.StepDrain:
+		i.drain(b, facts)
 	case installer.StepLoad:
-		return i.load(ctx, b)
+		return i.load(ctx, b, false)
+	case installer.StepCut:
+		return i.load(ctx, b, true)
 	default:
-		return nil
 	}
+	return nil
+}
+
+// drain tells the entries to send no more calls.
+func (i *install) drain(b *bundle, facts installer.Facts) {
+	i.drainedAt = time.Now()
+	i.setLoading(true)
+	i.p.c.Log.Info("agent: The engine takes no more calls before it loads.", zap.Int64("Version", b.release.Version), zap.Int("Running", facts.Running))
 }
 
 // turn returns the age of the release from which on this engine loads.
@@ -248,6 +270,9 @@
 	if b != i.newest && !i.progress(i.newest).IsStalled() {
 		return i.place(b, replacedTurn, replacedTurn)
 	}
+	if b != i.newest && b.leftAlone == 0 {
+		b.leftAlone = time.Since(b.named)
+	}
 	turn := i.place(b, firstTurn, lastTurn)
 	if b == i.newest && i.previous != nil && held < i.previous.release.Version {
 		between := b.named.Sub(i.previous.named)
@@ -263,7 +288,7 @@
 	version := strconv.FormatInt(b.release.Version, 10)
 	i.p.mu.Lock()
 	defer i.p.mu.Unlock()
-	begin := max(time.Duration(limit*first), b.wholeAge)
+	begin := max(time.Duration(limit*first), b.wholeAge, b.leftAlone)
 	end := max(time.Duration(limit*last), begin)
 	return installer.Turn(i.p.c.Settings.Address.String(), i.p.domain, version, begin, end)
 }
@@ -328,7 +353,7 @@
 
 // load orders the engine to load what was staged. An order without an answer may have
 // been accepted; the engine's state tells.
-func (i *install) load(ctx context.Context, b *bundle) error {
+func (i *install) load(ctx context.Context, b *bundle, isCut bool) error {
 	state, err := i.p.c.Slot.State(ctx, b.release.Model)
 	if err != nil {
 		return err
@@ -338,10 +363,10 @@
 	}
 	i.setLoading(true)
 	i.orderedAt = time.Now()
-	if err := i.p.c.Slot.Load(ctx, b.release, state.Sequence); err != nil {
+	if err := i.p.c.Slot.Load(ctx, b.release, state.Sequence, isCut); err != nil {
 		i.endLoad()
 		return err
 	}
-	i.p.c.Log.Info("agent: The engine was ordered to load.", zap.Int64("Version", b.release.Version), zap.Int("Running", state.Running), zap.Int("Queued", state.Queued))
+	i.p.c.Log.Info("agent: The engine was ordered to load.", zap.Int64("Version", b.release.Version), zap.Int("Running", state.Running), zap.Int("Queued", state.Queued), zap.Bool("Cut", isCut))
 	return nil
 }
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -75,6 +75,13 @@
 	return a.balancer.IsLost(time.Now(), u.ID, u.Born)
 }
 
+// IsLoading reports whether an upstream is said to load weights, for which it may end calls.
+func (a *Assigner) IsLoading(u foxtailwharf.Upstream) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.IsLoading(time.Now(), u.ID)
+}
+
 // DueAt returns when a call at an upstream must have begun; zero for never.
 func (a *Assigner) DueAt(u foxtailwharf.Upstream) time.Time {
 	a.mu.Lock()
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -457,6 +457,12 @@
 	u.ejections++
 }
 
+// IsLoading reports whether an upstream is said to load weights.
+func (b *Balancer) IsLoading(now time.Time, id string) bool {
+	u := b.byID[id]
+	return u != nil && u.load.IsLoading && now.Sub(u.reportedAt) < downLife
+}
+
 // IsLost reports whether an upstream is known to have ended or to be unreachable: it is
 // no longer listed, has started anew since, or does not answer its agent.
 func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
--- a/internal/request/forwarder/try.go
+++ b/internal/request/forwarder/try.go
@@ -153,7 +153,7 @@
 	t.log("The upstream gave no whole answer.", zap.Error(err), zap.NamedError("Cause", context.Cause(ctx)))
 	var failure *exchanger.Error
 	isEnded := errors.Is(context.Cause(ctx), errLost) || (ctx.Err() == nil && errors.As(err, &failure) && failure.IsBroken)
-	if isEnded {
+	if isEnded && !t.x.f.c.Assigner.IsLoading(t.upstream) {
 		t.x.f.died(context.WithoutCancel(ctx), t.upstream, t.x.digest)
 	}
 	if errors.Is(context.Cause(ctx), errSilent) {
--- a/internal/version/fetcher/fetcher.go
+++ b/internal/version/fetcher/fetcher.go
@@ -275,8 +275,10 @@
 	f.mu.Lock()
 	s := f.session
 	f.mu.Unlock()
+	reply := wire.Have{Name: f.c.Self().Name, Version: told.Version, Chunks: f.c.Holder.Bitmap(told.Version)}
 	if s != nil && s.version == told.Version {
 		s.hear(told)
+		reply.HasOriginFailed = s.hasOriginFailed()
 	}
-	return wire.Have{Name: f.c.Self().Name, Version: told.Version, Chunks: f.c.Holder.Bitmap(told.Version)}, nil
+	return reply, nil
 }
--- a/internal/version/fetcher/session.go
+++ b/internal/version/fetcher/session.go
@@ -110,6 +110,12 @@
 	return s.selector.Missing()
 }
 
+func (s *session) hasOriginFailed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.HasOriginFailed(time.Now())
+}
+
 // meet brings the selector's members up to date and begins to tell new neighbours.
 func (s *session) meet(ctx context.Context) {
 	holders := s.f.c.Holders()
@@ -231,6 +237,9 @@
 	s.mu.Lock()
 	if i, isMember := s.members[told.Name]; isMember {
 		s.selector.Hear(i, has)
+		if told.HasOriginFailed {
+			s.selector.HearOriginFailed(time.Now())
+		}
 	}
 	s.mu.Unlock()
 	select {
@@ -283,7 +292,10 @@
 }
 
 func (t *teller) tell(ctx context.Context) {
-	have := wire.Have{Name: t.s.f.c.Self().Name, Version: t.s.version, Chunks: t.s.f.c.Holder.Bitmap(t.s.version)}
+	have := wire.Have{
+		Name: t.s.f.c.Self().Name, Version: t.s.version, Chunks: t.s.f.c.Holder.Bitmap(t.s.version),
+		HasOriginFailed: t.s.hasOriginFailed(),
+	}
 	reply, err := messenger.Call[wire.Have](ctx, t.s.f.c.Client, t.to.Address, MethodHave, have)
 	if err != nil {
 		t.s.mu.Lock()
--- a/internal/version/installer/installer.go
+++ b/internal/version/installer/installer.go
@@ -1,5 +1,5 @@
 // Package installer decides what an agent does next to bring its engine to the version
-// that is wanted: fetch, stage, wait for its turn, load. It answers the naming of new
+// that is wanted: fetch, stage, wait for its turn, drain, load. It answers the naming of new
 // weights for a whole fleet under load: engines that hold nothing load at once, and the
 // others one after the other over the time that the switch may take, since an engine
 // that loads takes no calls. It does no I/O and holds no clock.
@@ -22,7 +22,21 @@
 	StepFetch   Step = "Fetch"   // chunks are missing
 	StepStage   Step = "Stage"   // chunks have to be laid beside the engine, or checked there
 	StepWait    Step = "Wait"    // it is not this engine's turn, or it is loading
-	StepLoad    Step = "Load"    // the engine gets its order
+	StepDrain   Step = "Drain"   // the entries are told to send no more calls
+	StepLoad    Step = "Load"    // the engine gets its order, after what it runs
+	StepCut     Step = "Cut"     // the engine gets its order and ends what it runs
+)
+
+// Constants of draining.
+const (
+	// fewCalls is the number of calls that are cut rather than waited for: the engine's other
+	// places stand empty meanwhile, and another engine reads these calls' prompts in less time.
+	fewCalls = 3
+	// minDrain is how long calls may end by themselves before any are cut.
+	minDrain = 700 * time.Millisecond
+	// maxDrain is how long an engine waits to have few calls left before it gets its order
+	// anyway, after those.
+	maxDrain = 1500 * time.Millisecond
 )
 
 // Facts are what the decision rests on.
@@ -33,6 +47,10 @@
 	IsBusy   bool  // with an order
 	IsWhole  bool  // all chunks of Wanted are there and verified
 	IsStaged bool  // and lie beside the engine, checked a moment ago
+	// Running is the number of calls at the engine, and Drained how long the entries have been
+	// told to send no more; 0 for not yet.
+	Running int
+	Drained time.Duration
 	// Turn is the age of the release from which on this engine loads, if it holds an older
 	// version.
 	Turn time.Duration
@@ -51,8 +69,14 @@
 		return StepWait
 	case !f.IsStaged:
 		return StepStage
-	default:
+	case f.Held == 0 || f.Running == 0 || f.Drained >= maxDrain:
 		return StepLoad
+	case f.Drained == 0:
+		return StepDrain
+	case f.Running <= fewCalls && f.Drained >= minDrain:
+		return StepCut
+	default:
+		return StepWait
 	}
 }
 
@@ -76,6 +100,10 @@
 // startedPart is the part of a release's chunks from which on it is worth completing.
 const startedPart = 0.3
 
+// nearlyPart is the part from which on it is completed before a newer one is begun: it comes
+// from other agents in a moment, and stands by should the newer one not arrive.
+const nearlyPart = 0.6
+
 // Progress is how far the fetching of a release is.
 type Progress struct {
 	Held, Total int
@@ -102,6 +130,8 @@
 		return false
 	case isOnPrevious:
 		return !previous.IsStalled()
+	case newest.Held == 0 && !previous.IsStalled() && float64(previous.Held) >= nearlyPart*float64(previous.Total):
+		return true
 	default:
 		return newest.IsStalled() && float64(previous.Held) >= startedPart*float64(previous.Total)
 	}
--- a/internal/version/installer/installer_test.go
+++ b/internal/version/installer/installer_test.go
@@ -29,7 +29,14 @@
 		{"before its turn", change(func(f *installer.Facts) { f.Age = time.Second }), installer.StepWait},
 		{"an empty engine has no turn", change(func(f *installer.Facts) { f.Age, f.Held = time.Second, 0 }), installer.StepStage},
 		{"not staged", whole, installer.StepStage},
-		{"staged", change(func(f *installer.Facts) { f.IsStaged = true }), installer.StepLoad},
+		{"staged and idle", change(func(f *installer.Facts) { f.IsStaged = true }), installer.StepLoad},
+		{"staged and at work", change(func(f *installer.Facts) { f.IsStaged, f.Running = true, 9 }), installer.StepDrain},
+		{"draining", change(func(f *installer.Facts) { f.IsStaged, f.Running, f.Drained = true, 9, time.Second }), installer.StepWait},
+		{"drained", change(func(f *installer.Facts) { f.IsStaged, f.Drained = true, 300*time.Millisecond }), installer.StepLoad},
+		{"a few calls at first", change(func(f *installer.Facts) { f.IsStaged, f.Running, f.Drained = true, 2, 200*time.Millisecond }), installer.StepWait},
+		{"a few calls left", change(func(f *installer.Facts) { f.IsStaged, f.Running, f.Drained = true, 2, time.Second }), installer.StepCut},
+		{"many long calls", change(func(f *installer.Facts) { f.IsStaged, f.Running, f.Drained = true, 9, 2*time.Second }), installer.StepLoad},
+		{"the check is old while it drains", change(func(f *installer.Facts) { f.Running, f.Drained = 9, time.Second }), installer.StepStage},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -79,6 +86,9 @@
 		{"the previous stalls too", stalled, stalled, true, false},
 		{"the previous is whole", stalled, whole, true, false},
 		{"the newest is whole", whole, moving, true, false},
+		{"the previous is nearly whole", installer.Progress{}, installer.Progress{Held: 7, Total: 10}, false, true},
+		{"and the newest has begun", installer.Progress{Held: 1, Total: 10}, installer.Progress{Held: 7, Total: 10}, false, false},
+		{"and it stalls", installer.Progress{}, installer.Progress{Held: 7, Total: 10, Idle: 2 * time.Second}, false, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/version/selector/selector.go
+++ b/internal/version/selector/selector.go
@@ -24,6 +24,8 @@
 	// originBadTime is how long the origin is passed over after a failure. It does not
 	// grow: there is one origin, and all wait for its return.
 	originBadTime = 400 * time.Millisecond
+	// originNews is how long a failure of the origin is told: sponsors try it again sooner.
+	originNews = time.Second
 	// maxBadTime bounds the doubling.
 	maxBadTime = time.Minute
 	// busyTime is how long a source that was busy is passed over.
@@ -32,6 +34,8 @@
 	maxSponsorWaits = 3
 	// maxOriginDraws is the number of chunks drawn from the origin at a time.
 	maxOriginDraws = 2
+	// primaryTries is how often the sponsor in the primary region is asked for a chunk.
+	primaryTries = 2
 	// busyCost weighs a running fetch against the chunks that a neighbour has already given.
 	busyCost = 2
 	// window is the number of chunks of one primary region that are on their way from
@@ -79,12 +83,14 @@
 	near      []int // neighbours in the region that have each chunk
 	bad       map[string]*fault
 	asked     map[int]map[string]bool // sponsors that were asked for a chunk in vain
+	inVain    map[int]int             // times that the sponsor in the primary region lacked a chunk
 	holders   []foxtailwharf.Instance // agents that should have the version, this one included
 	regions   []string
 	better    [][]string // sponsors of each chunk in the region before this agent, first first
 	primaries []string   // sponsor of each chunk in its primary region
 	started   time.Time
 	advanced  time.Time // when a chunk last arrived
+	failed    time.Time // when the origin last failed this agent; zero for never
 	perSource map[string]int
 	taken     map[string]int // chunks that came from each neighbour
 	waits     int
@@ -113,6 +119,7 @@
 		near:      make([]int, count),
 		bad:       make(map[string]*fault),
 		asked:     make(map[int]map[string]bool),
+		inVain:    make(map[int]int),
 		perSource: make(map[string]int),
 		taken:     make(map[string]int),
 		started:   now,
@@ -230,7 +237,7 @@
 	case Busy:
 		s.pass(now, f.From, busyTime, false)
 	case Missing:
-		s.noteAsked(f)
+		s.noteMissing(f)
 		s.unmark(f)
 		if !f.IsWait {
 			s.pass(now, f.From, busyTime, false)
@@ -238,7 +245,7 @@
 	case Failed:
 		s.noteAsked(f)
 		if f.From == Origin {
-			s.pass(now, Origin, originBadTime, false)
+			s.originFailed(now)
 			return
 		}
 		// A neighbour that lives announces again within a second; those of a dead one
@@ -248,6 +255,40 @@
 	}
 }
 
+// originFailed passes the origin over for a moment. What was asked of sponsors in vain says
+// nothing of them then, and their time begins anew: else all agents would take over from all
+// sponsors, and draw many copies at once when the origin is back.
+func (s *Selector) originFailed(now time.Time) {
+	s.pass(now, Origin, originBadTime, false)
+	s.failed = now
+	s.HearOriginFailed(now)
+}
+
+// HearOriginFailed takes in that the origin has failed another agent a moment ago.
+func (s *Selector) HearOriginFailed(now time.Time) {
+	s.advanced = now
+	clear(s.asked)
+	clear(s.inVain)
+}
+
+// HasOriginFailed reports whether the origin has failed this agent a moment ago.
+func (s *Selector) HasOriginFailed(now time.Time) bool {
+	return !s.failed.IsZero() && now.Sub(s.failed) < originNews
+}
+
+// noteMissing notes that a source lacks a chunk. The sponsor in the primary region is asked
+// again a few times: it answers, so that what is missing is most likely the origin, and all
+// regions would draw at once when that is back.
+func (s *Selector) noteMissing(f Fetch) {
+	if f.IsWait && f.From == s.primaries[f.Chunk] && s.primaryRegion(f.Chunk) != s.c.Self.Region {
+		s.inVain[f.Chunk]++
+		if s.inVain[f.Chunk] < primaryTries {
+			return
+		}
+	}
+	s.noteAsked(f)
+}
+
 // noteAsked notes that a sponsor was waited for in vain.
 func (s *Selector) noteAsked(f Fetch) {
 	if !f.IsWait {
--- a/internal/version/selector/selector_test.go
+++ b/internal/version/selector/selector_test.go
@@ -25,8 +25,9 @@
 	selectors []*selector.Selector
 	has       [][]bool
 	waiting   []wait
-	draws     int // from the origin
-	crossings int // between regions
+	draws     int  // from the origin
+	isDown    bool // the origin
+	crossings int  // between regions
 }
 
 // wait is a fetch that its source holds until it has the chunk.
@@ -66,10 +67,10 @@
 // isBad say which agents are dead and which fetches fail.
 func (s *swarm) round(isDead func(n int) bool, isBad func() bool) {
 	s.now = s.now.Add(200 * time.Millisecond)
-	for n, one := range s.selectors {
-		for m, i := range s.instances {
+	for n := range s.selectors {
+		for m := range s.instances {
 			if m != n && !isDead(m) {
-				one.Hear(i, append([]bool(nil), s.has[m]...))
+				s.tell(m, n)
 			}
 		}
 	}
@@ -96,8 +97,20 @@
 	}
 }
 
+// tell has one agent hear what another has.
+func (s *swarm) tell(from, to int) {
+	s.selectors[to].Hear(s.instances[from], append([]bool(nil), s.has[from]...))
+	if s.instances[from].Region == s.instances[to].Region && s.selectors[from].HasOriginFailed(s.now) {
+		s.selectors[to].HearOriginFailed(s.now)
+	}
+}
+
 // finish ends one fetch, unless its source holds it.
 func (s *swarm) finish(n int, f selector.Fetch, until time.Time, isDead func(n int) bool, isBad func() bool) {
+	if f.From == selector.Origin && s.isDown {
+		s.selectors[n].Finish(s.now, f, selector.Failed)
+		return
+	}
 	if f.From == selector.Origin {
 		s.draws++
 	}
@@ -239,3 +252,28 @@
 		t.Errorf("%d chunks were drawn by one of %d sponsors of %d", drawn, agents, chunks)
 	}
 }
+
+// TestOriginReturns takes the origin away for a while, in which nothing advances: when it is
+// back the agents draw little more than one copy, as if it had never been gone.
+func TestOriginReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const chunks, agents = 24, 9
+		s := newSwarm(t, chunks, agents)
+		s.isDown = true
+		never := func(int) bool { return false }
+		for range rapid.IntRange(5, 60).Draw(t, "rounds of 0.2 s") {
+			s.round(never, func() bool { return false })
+		}
+		s.isDown = false
+		rounds := 0
+		for ; rounds < 200 && s.missing(never) > 0; rounds++ {
+			s.round(never, func() bool { return false })
+		}
+		if s.missing(never) > 0 {
+			t.Fatalf("%d chunks are missing after %d rounds", s.missing(never), rounds)
+		}
+		if limit := chunks * 13 / 10; s.draws > limit {
+			t.Fatalf("%d chunks were drawn for %d, want %d at the most", s.draws, chunks, limit)
+		}
+	})
+}
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -261,7 +261,7 @@
 
 // Load begins a load, which waits for what is running. Chunks that are not those of the
 // version make the engine hold nothing.
-func (e *SlotEngine) Load(_ context.Context, release foxtailwharf.Release, sequence int64) error {
+func (e *SlotEngine) Load(_ context.Context, release foxtailwharf.Release, sequence int64, isCut bool) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.isDown || sequence != e.sequence || e.loading != 0 {
@@ -269,6 +269,10 @@
 	}
 	e.sequence++
 	e.loading = release.Version
+	if isCut {
+		e.die()
+		e.lifetime, e.die = context.WithCancel(context.Background())
+	}
 	for number, chunk := range e.c.Manifest(release.Version).Chunks {
 		if foxtailwharf.Digest(e.staged[number]) != chunk.Digest {
 			e.loading = -1
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -436,6 +436,9 @@
 	// bitmap in base64, chunk 0 in the lowest bit of the first byte
 	Chunks string `json:"Chunks"`
 
+	// the origin has failed the sender a moment ago
+	HasOriginFailed bool `json:"HasOriginFailed,omitempty,omitzero"`
+
 	// Name corresponds to the JSON schema field "Name".
 	Name string `json:"Name"`
 
