--- a/internal/process/distributor/releases.go
+++ b/internal/process/distributor/releases.go
@@ -17,8 +17,9 @@
 	// unknownTime is how long an entry that has just started lets older weights answer
 	// where it does not know when a release was named. Agents tell it soon.
 	unknownTime = 2500 * time.Millisecond
-	// maxNamed is the number of releases of a model that are remembered.
-	maxNamed = 4
+	// maxNamed is the number of releases of a model that are remembered: many may be named
+	// within the time of one switch.
+	maxNamed = 64
 )
 
 // named is a release with the moment at which any entry first heard of it.
@@ -75,7 +76,14 @@
 		return
 	}
 	list = append(list, n)
-	d.named[r.Model] = list[max(len(list)-maxNamed, 0):]
+	if len(list) > maxNamed {
+		// The oldest is forgotten, and the one after it counts from when that was named.
+		if list[0].at.Before(list[1].at) {
+			list[1].at = list[0].at
+		}
+		list = slices.Delete(list, 0, 1)
+	}
+	d.named[r.Model] = list
 	d.tellSoon()
 }
 
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -152,9 +152,9 @@
 	b.entries = max(count, 1)
 }
 
-// maxReleases is the number of releases of a service that are remembered: versions named
-// in quick succession are each due by a time of their own.
-const maxReleases = 4
+// maxReleases is the number of releases of a service that are remembered: each is due by a
+// time of its own, and many may be named within the time of one switch.
+const maxReleases = 64
 
 // SetRelease names a version of a service's weights, from when on no older one gets calls,
 // and when none may begin on an older one. Naming it again changes the times.
@@ -168,7 +168,19 @@
 	}
 	list = append(list, release{version: version, mustAt: mustAt, dueAt: dueAt})
 	slices.SortFunc(list, func(a, b release) int { return cmp.Compare(a.version, b.version) })
-	b.releases[service] = list[max(len(list)-maxReleases, 0):]
+	if len(list) > maxReleases {
+		// The oldest is forgotten, and the one after it is due when that was.
+		list[1].mustAt, list[1].dueAt = earlier(list[0].mustAt, list[1].mustAt), earlier(list[0].dueAt, list[1].dueAt)
+		list = slices.Delete(list, 0, 1)
+	}
+	b.releases[service] = list
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // oldest returns the oldest version of a service's weights that may answer.
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -92,6 +92,27 @@
 	}
 }
 
+// TestManyReleases names releases twice a second for as long as a switch may take and longer:
+// each is due by its own time, however many came after it.
+func TestManyReleases(t *testing.T) {
+	const count, interval, limit = 30, 500 * time.Millisecond, 8 * time.Second
+	b := newBalancer(listed(1, "near", 1))
+	for n := range count {
+		named := start.Add(time.Duration(n) * interval)
+		b.SetRelease("s", int64(n+2), named.Add(limit), named.Add(limit))
+		due := int64(1)
+		if since := named.Sub(start) - limit; since >= 0 {
+			due = 2 + int64(since/interval)
+		}
+		for held := int64(1); held <= int64(n+2); held++ {
+			b.Set([]foxtailwharf.Upstream{listed(1, "near", held)})
+			if _, isFound, _ := b.Pick(named, model); isFound != (held >= due) {
+				t.Fatalf("%s after the first: version %d gets calls: %t, want those from %d on", named.Sub(start), held, isFound, due)
+			}
+		}
+	}
+}
+
 // TestFullLinks checks that calls go past upstreams whose reports wait or stay out while there
 // are others, and to them where there are none.
 func TestFullLinks(t *testing.T) {
