A store call without an answer is a failure of the store, not a repeat

Ruled out: the proxies (the requests had reached the store), lost wake-ups of the store stand-in, a compacted history.

Change: the client names its timeout; the follower decides by the cause with which it has ended a call itself. And a long poll that is unanswered for 3 s is repeated once an answer for another subject shows a later revision of the store: its own answer may be lost while all others arrive.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -27,6 +27,10 @@
 	// listWait and releaseWait are the same for upstreams and releases.
 	listWait    = 8 * time.Second
 	releaseWait = 10 * time.Second
+	// unansweredLimit is how long a long poll of these two may stay without an answer once the
+	// answer for another subject shows that the store has changed since: the change may be of its
+	// subject, and its answer lost.
+	unansweredLimit = 3 * time.Second
 	// probeWait replaces these waits while the store is unreachable.
 	probeWait = 20 * time.Millisecond
 	// listPause is the pause after a change of the list, so that many changes at once cost one
@@ -84,15 +88,15 @@
 	view       View
 	changed    chan struct{} // closed when the view changes
 	upstreams  map[string]foxtailwharf.Upstream
-	changedAt  map[string]uint64                                // sequence of the last change, by ID
-	goneAt     map[string]uint64                                // sequence of the removal, by ID
-	goneFloor  uint64                                           // removals up to this sequence are no longer known
-	reachable  chan struct{}                                    // closed when the store answers again
-	base       Position                                         // position of the entry from which the list was taken; zero if from the store
-	releases   map[string]foxtailwharf.Release                  // by model
-	graceUntil map[string]time.Duration                         // end of the grace period, by ID of the upstream
-	outageEnd  time.Duration                                    // end of the last outage, by the clock; 0 for none
-	calls      map[foxtailwharf.FleetSubject]context.CancelFunc // in progress
+	changedAt  map[string]uint64                         // sequence of the last change, by ID
+	goneAt     map[string]uint64                         // sequence of the removal, by ID
+	goneFloor  uint64                                    // removals up to this sequence are no longer known
+	reachable  chan struct{}                             // closed when the store answers again
+	base       Position                                  // position of the entry from which the list was taken; zero if from the store
+	releases   map[string]foxtailwharf.Release           // by model
+	graceUntil map[string]time.Duration                  // end of the grace period, by ID of the upstream
+	outageEnd  time.Duration                             // end of the last outage, by the clock; 0 for none
+	calls      map[foxtailwharf.FleetSubject]pendingCall // in progress
 }
 
 // New returns a follower with an empty view. Start begins to fill it.
@@ -106,7 +110,7 @@
 		goneAt:     make(map[string]uint64),
 		releases:   make(map[string]foxtailwharf.Release),
 		graceUntil: make(map[string]time.Duration),
-		calls:      make(map[foxtailwharf.FleetSubject]context.CancelFunc),
+		calls:      make(map[foxtailwharf.FleetSubject]pendingCall),
 	}
 }
 
@@ -179,8 +183,8 @@
 	}
 }
 
-// setReachable records that the store answers again. It wakes the other subjects and cancels their
-// calls.
+// setReachable records that the store answers again. It wakes the other subjects and ends their
+// calls, so that they are repeated.
 func (f *Follower) setReachable(name foxtailwharf.FleetSubject, now time.Duration, isOutage bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -189,9 +193,21 @@
 	}
 	close(f.reachable)
 	f.reachable = make(chan struct{})
-	for other, cancel := range f.calls {
+	for other, call := range f.calls {
 		if other != name {
-			cancel()
+			call.cancel(errRepeat)
+		}
+	}
+}
+
+// repeatUnanswered ends the long polls of other subjects that are unanswered for longer than
+// unansweredLimit although the store has advanced to a later revision, so that they are repeated.
+// The lock must be held.
+func (f *Follower) repeatUnanswered(name foxtailwharf.FleetSubject, revision uint64) {
+	now := f.c.Clock()
+	for other, call := range f.calls {
+		if other != name && !call.isWhole && now-call.begun > unansweredLimit && *f.view.Revisions.of(other) < revision {
+			call.cancel(errRepeat)
 		}
 	}
 }
@@ -211,6 +227,7 @@
 		f.view.HasReleases = true
 	}
 	*f.view.Revisions.of(subject) = p.Revision
+	f.repeatUnanswered(subject, p.Revision)
 	f.publish()
 }
 
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -199,6 +199,46 @@
 	})
 }
 
+// drainingBound is the time after which a draining upstream may get no more calls, counted from
+// the end of the last fault of the store: the shortest time after which processes count as in
+// contact again, and the shortest limit for draining upstreams.
+const drainingBound = 3*time.Second + 2*time.Second
+
+// TestDrainingIsSeenAfterSilence checks a store that ignores calls for about two seconds. A call of
+// each subject falls into that time; the client gives the one for the configuration up after the
+// store has begun to answer again, and no other call fails.
+func TestDrainingIsSeenAfterSilence(t *testing.T) {
+	run(t, func(b *bench) {
+		b.store.PutUpstream(foxtailwharf.Upstream{ID: "u1"})
+		time.Sleep(800 * time.Millisecond)
+		b.store.SetSilent("a", true)
+		time.Sleep(2100 * time.Millisecond)
+		b.store.SetSilent("a", false)
+		time.Sleep(drainingBound - 2*time.Second)
+		b.store.PutUpstream(foxtailwharf.Upstream{ID: "u1", IsDraining: true})
+		time.Sleep(2 * time.Second)
+		if list := b.follower.View().Upstreams; len(list) != 1 || !list[0].IsDraining {
+			t.Errorf("have %+v %s after the store answers again, want u1 draining", list, drainingBound)
+		}
+	})
+}
+
+// TestDrainingIsSeenAfterDroppedAnswer checks a store that drops the answer to one call for the
+// list, while the calls for the other subjects are answered.
+func TestDrainingIsSeenAfterDroppedAnswer(t *testing.T) {
+	run(t, func(b *bench) {
+		b.store.DropAnswer("a", foxtailwharf.SubjectUpstreams)
+		b.store.PutUpstream(foxtailwharf.Upstream{ID: "u1"})
+		time.Sleep(time.Second)
+		time.Sleep(drainingBound - 2*time.Second)
+		b.store.PutUpstream(foxtailwharf.Upstream{ID: "u1", IsDraining: true})
+		time.Sleep(2 * time.Second)
+		if list := b.follower.View().Upstreams; len(list) != 1 || !list[0].IsDraining {
+			t.Errorf("have %+v %s after the dropped answer, want u1 draining", list, drainingBound)
+		}
+	})
+}
+
 // TestOlderListIsIgnored checks that a list of another entry which was read later but at an older
 // revision does not bring back a removed upstream.
 func TestOlderListIsIgnored(t *testing.T) {
--- a/internal/process/follower/subjectpoller.go
+++ b/internal/process/follower/subjectpoller.go
@@ -12,6 +12,17 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 )
 
+// errRepeat ends a call that has to be made again at once, because another subject found that the
+// store answers again, or has changed since.
+var errRepeat = errors.New("call has to be repeated")
+
+// pendingCall is a call to the store that is in progress.
+type pendingCall struct {
+	begun   time.Duration // by the clock
+	isWhole bool          // reads the whole subject, which may take long over a narrow link
+	cancel  context.CancelCauseFunc
+}
+
 // subjectPoller keeps one subject of the view current by long polls of the store.
 type subjectPoller struct {
 	f             *Follower
@@ -74,8 +85,7 @@
 		s.needsFullRead = true
 		return nil
 	}
-	if errors.Is(err, context.Canceled) && ctx.Err() == nil {
-		// Another subject found that the store answers again; this one repeats its call at once.
+	if errors.Is(err, errRepeat) {
 		return nil
 	}
 	if err != nil {
@@ -91,14 +101,23 @@
 	return nil
 }
 
-// call makes one call. Another subject cancels it on finding that the store answers again, since
-// the connection may have gone silent during the outage.
-func (s *subjectPoller) call(ctx context.Context, isWhole bool, after uint64) (foxtailwharf.FleetPage, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// call makes one call. Another subject may end it with errRepeat, since its connection may have gone
+// silent or its answer may be lost. Any other error is a failure of the store, also a call that the
+// client has cancelled for lack of an answer.
+func (s *subjectPoller) call(ctx context.Context, isWhole bool, after uint64) (p foxtailwharf.FleetPage, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	s.f.mu.Lock()
-	s.f.calls[s.name] = cancel
+	s.f.calls[s.name] = pendingCall{begun: s.f.c.Clock(), isWhole: isWhole, cancel: cancel}
 	s.f.mu.Unlock()
+	if p, err = s.ask(ctx, isWhole, after); err != nil && errors.Is(context.Cause(ctx), errRepeat) {
+		return p, errRepeat
+	}
+	return p, err
+}
+
+// ask reads the whole subject, or waits for changes after a revision.
+func (s *subjectPoller) ask(ctx context.Context, isWhole bool, after uint64) (foxtailwharf.FleetPage, error) {
 	if isWhole {
 		return s.f.c.Store.Read(ctx, s.name)
 	}
--- a/standin/fleetstore.go
+++ b/standin/fleetstore.go
@@ -13,6 +13,9 @@
 // ErrStoreUnavailable is the error of a view that SetUnavailable made unavailable.
 var ErrStoreUnavailable = errors.New("fake store is unavailable")
 
+// silenceTimeout is how long the client of a silent store waits beyond the wait of a call.
+const silenceTimeout = 700 * time.Millisecond
+
 // FleetStore is an in-memory store behind the foxtailwharf.FleetStore that View returns. Each view
 // can be made unavailable on its own.
 type FleetStore struct {
@@ -26,9 +29,17 @@
 	releases          map[string]storedRelease
 	changed           chan struct{}
 	unavailable       map[string]bool
+	silent            map[string]bool // by view
+	dropped           map[droppedAnswer]bool
 	calls             map[string]int // number of calls by view
 }
 
+// droppedAnswer names a subject of a view whose next call gets no answer.
+type droppedAnswer struct {
+	view    string
+	subject foxtailwharf.FleetSubject
+}
+
 type storedUpstream struct {
 	upstream foxtailwharf.Upstream
 	revision uint64
@@ -49,6 +60,8 @@
 		releases:    make(map[string]storedRelease),
 		changed:     make(chan struct{}),
 		unavailable: make(map[string]bool),
+		silent:      make(map[string]bool),
+		dropped:     make(map[droppedAnswer]bool),
 		calls:       make(map[string]int),
 	}
 }
@@ -102,6 +115,42 @@
 	s.update(func(uint64) { s.unavailable[view] = isUnavailable })
 }
 
+// SetSilent makes a view ignore new calls, or answer again. A call that was made while the view was
+// silent never gets an answer: it fails after its wait and silenceTimeout.
+func (s *FleetStore) SetSilent(view string, isSilent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[view] = isSilent
+}
+
+// DropAnswer drops the answer to the next call of a view for a subject.
+func (s *FleetStore) DropAnswer(view string, subject foxtailwharf.FleetSubject) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped[droppedAnswer{view, subject}] = true
+}
+
+// isIgnored reports whether a call that is made now gets no answer.
+func (v *storeView) isIgnored(subject foxtailwharf.FleetSubject) bool {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	next := droppedAnswer{v.name, subject}
+	isDropped := v.s.dropped[next]
+	delete(v.s.dropped, next)
+	return isDropped || v.s.silent[v.name]
+}
+
+// ignore blocks until the client's timeout. The error is that of a client which cancels its own
+// call.
+func (v *storeView) ignore(ctx context.Context, wait time.Duration) (foxtailwharf.FleetPage, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(wait+silenceTimeout, cancel)
+	defer timer.Stop()
+	<-ctx.Done()
+	return foxtailwharf.FleetPage{}, ctx.Err()
+}
+
 // Calls returns the number of calls that a view has received, including those it failed.
 func (s *FleetStore) Calls(view string) int {
 	s.mu.Lock()
@@ -129,8 +178,11 @@
 }
 
 // Read returns the whole state of a subject.
-func (v *storeView) Read(_ context.Context, subject foxtailwharf.FleetSubject) (foxtailwharf.FleetPage, error) {
+func (v *storeView) Read(ctx context.Context, subject foxtailwharf.FleetSubject) (foxtailwharf.FleetPage, error) {
 	v.countCall()
+	if v.isIgnored(subject) {
+		return v.ignore(ctx, 0)
+	}
 	v.s.mu.Lock()
 	defer v.s.mu.Unlock()
 	if v.s.unavailable[v.name] {
@@ -174,6 +226,9 @@
 // page once wait is over.
 func (v *storeView) Follow(ctx context.Context, subject foxtailwharf.FleetSubject, after uint64, wait time.Duration) (foxtailwharf.FleetPage, error) {
 	v.countCall()
+	if v.isIgnored(subject) {
+		return v.ignore(ctx, wait)
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
