Bound what upstreams may send, and tell slow answers from stalled ones

Answers were cut at 64 MiB and forwarded as whole.

Further faults that the tests found: - a comment between events cleared the ID of the last event, so that a resumed stream began again and its caller got events twice (TestResumeAfterComment: 1 2 1 2 3 4); - a line that fills the splitter's buffer exactly ended an event early (TestTruncatedStream with sizes around 4 KiB); - a buffered answer that arrived steadily was given up after 1.2 s, and so was a stream on a route whose pauses may be longer, while comments without data kept a stalled stream alive (TestSteadyAndStalledAnswers); - the standard client accepted heads of up to 10 MiB (TestLongHead).

Change: 64 KiB for the heads of one response, 256 KiB for an event, 8 MiB for a buffered answer and 24 MiB for all of them beyond 64 KiB each (package collector); what is read only to keep a connection ends at 64 KiB or 0.1 s. Each bound ends the attempt as broken. Data counts as progress, comments and single bytes do not, and the route's longest pause counts.

Ruled out: chunk extensions and trailers, which net/http bounds itself.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -101,10 +101,11 @@
 			}
 			return network.Dial(ctx, address)
 		},
-		DisableKeepAlives:   isOnce,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerPeer,
-		IdleConnTimeout:     idleTimeout,
+		DisableKeepAlives:      isOnce,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerPeer,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/connection/dialer/dialer_test.go
+++ b/internal/connection/dialer/dialer_test.go
@@ -10,9 +10,12 @@
 	"io"
 	"math/big"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -139,3 +142,21 @@
 		t.Error("New succeeded with missing files")
 	}
 }
+
+// TestLongHead checks that a response whose head does not end within a bound is an error.
+func TestLongHead(t *testing.T) {
+	const headBytes = 1 << 20
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", headBytes))
+	}))
+	defer server.Close()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := dialer.Transport(&dialer.TCP{}, true).RoundTrip(request)
+	if err == nil {
+		_ = response.Body.Close()
+		t.Errorf("a head of %d bytes was accepted", headBytes)
+	}
+}
--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -31,11 +31,16 @@
 	maxIdlePerPeer    = 16
 	connectTimeout    = 400 * time.Millisecond
 	readBufferBytes   = 4 << 10
+	// maxHeadBytes bounds the head of a response, together with all informational heads before it.
+	maxHeadBytes = 64 << 10
 	// maxInlineBodyBytes is the size of the largest body that is written before the response is
 	// read. An upstream may respond before it has read a longer body.
 	maxInlineBodyBytes = 16 << 10
 )
 
+// errHeadTooLong means that the head of a response exceeds maxHeadBytes.
+var errHeadTooLong = errors.Errorf("head of the response is longer than %d bytes", maxHeadBytes)
+
 // Error is returned for a request that got no response or an incomplete one.
 type Error struct {
 	// IsUnsent is true if no part of the request can have reached the upstream.
@@ -87,8 +92,24 @@
 // connection is idle or serves one request.
 type connection struct {
 	net.Conn
-	reader  *bufio.Reader
-	expires time.Time // when it may no longer be reused
+	reader  *bufio.Reader // reads from the connection itself
+	expires time.Time     // when it may no longer be reused
+
+	isReadingHead bool
+	headBytes     int // received since the request was sent
+}
+
+// Read reads from the socket. While the head of a response is read, it bounds the bytes.
+func (c *connection) Read(p []byte) (int, error) {
+	if !c.isReadingHead {
+		return c.Conn.Read(p)
+	}
+	if c.headBytes >= maxHeadBytes {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), maxHeadBytes-c.headBytes)])
+	c.headBytes += n
+	return n, err
 }
 
 // New returns a requester with an empty pool.
@@ -126,7 +147,7 @@
 		a.Close()
 		return nil, err
 	}
-	response, err := readHead(conn.reader, r.Method) //nolint:bodyclose // Response.Close closes or reuses the connection.
+	response, err := conn.readHead(r.Method) //nolint:bodyclose // Response.Close closes or reuses the connection.
 	if err != nil {
 		a.isFailed = true
 		a.Close()
@@ -188,9 +209,11 @@
 }
 
 // readHead reads the status and header of the final response and skips informational ones.
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+func (c *connection) readHead(method string) (*http.Response, error) {
+	c.isReadingHead, c.headBytes = true, 0
+	defer func() { c.isReadingHead = false }()
 	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
@@ -265,7 +288,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "Requester.conn")
 	}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	c := &connection{Conn: opened}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // takeIdle removes and returns the connection that was used last, or nil if there is none.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -20,12 +20,18 @@
 // Timeouts after which a stalled upstream is abandoned, which apply only while the call may be
 // retried at another upstream, and the interval of the checks that every attempt makes.
 const (
-	// firstEventTimeout applies until the first event of a stream, or until the end of a buffered
-	// answer. Where firstEventTimeoutGoals times the route's goal is longer, that applies.
+	// firstEventTimeout applies until the first event of a stream, or until the first part of a
+	// buffered answer. Where firstEventTimeoutGoals times the route's goal is longer, that applies.
 	firstEventTimeout      = 1200 * time.Millisecond
 	firstEventTimeoutGoals = 2.5
-	// eventTimeout applies between two events.
-	eventTimeout = 1200 * time.Millisecond
+	// eventTimeout applies between two events that carry data, and between two parts of a buffered
+	// answer. Where eventTimeoutPauses times the route's longest pause is longer, that applies.
+	eventTimeout       = 1200 * time.Millisecond
+	eventTimeoutPauses = 2
+	// maxDrainBytes and drainTimeout bound the rest of an answer that is read only to keep the
+	// connection. Beyond them the connection is closed.
+	maxDrainBytes = 64 << 10
+	drainTimeout  = 100 * time.Millisecond
 	// upstreamCheckInterval is the time between two runs of checkUpstream.
 	upstreamCheckInterval = 100 * time.Millisecond
 )
@@ -178,25 +184,28 @@
 	return notRun, balancer.NotRun
 }
 
-// drain reads the rest of an answer so that the connection can be reused.
+// drain reads the rest of a short answer so that the connection can be reused.
 func (a *attempt) drain(answer *requester.Response) {
-	if _, err := readAll(answer); err != nil {
-		a.log("reading the rest of an answer failed", zap.Error(err))
+	a.stallTimer.Reset(drainTimeout)
+	n, err := io.CopyN(io.Discard, answer, maxDrainBytes)
+	if !errors.Is(err, io.EOF) {
+		a.log("connection closed instead of reading the rest of an answer", zap.Int64("Read", n), zap.Error(err))
 	}
 }
 
 // forwardBuffered reads an answer that is not a stream and forwards it. A server error is kept
 // instead while the call may be retried.
 func (a *attempt) forwardBuffered(ctx context.Context, answer *requester.Response) (outcome, balancer.Result) {
-	body, err := readAll(answer)
+	body, err := a.x.f.collector.Collect(answer, a.resetStallTimer)
 	if err != nil {
 		return a.handleBroken(ctx, err)
 	}
+	a.x.held = append(a.x.held, body)
 	isServerError := answer.Status >= http.StatusInternalServerError
 	if a.x.isHeadSent || isNotRunStatus(answer.Status) {
 		return unknown, balancer.Failed
 	}
-	buffered := &bufferedAnswer{status: answer.Status, header: a.x.f.c.Dialect.AnswerHeader(answer.Header), body: body}
+	buffered := &bufferedAnswer{status: answer.Status, header: a.x.f.c.Dialect.AnswerHeader(answer.Header), body: body.Bytes}
 	if isServerError && a.x.mayRetryAfterRun() {
 		a.x.errorAnswer = buffered
 		return unknown, balancer.Failed
@@ -236,7 +245,10 @@
 		case err != nil:
 			return a.handleBroken(ctx, err)
 		}
-		a.resetStallTimer()
+		if event.HasData {
+			a.hasEvent.Store(true)
+			a.resetStallTimer()
+		}
 		if weights, hasWeights := x.f.c.Dialect.EventWeights(event.Text); hasWeights {
 			x.weights = weights
 		}
@@ -245,15 +257,16 @@
 			x.log("caller disconnected during its stream", zap.Error(err))
 			return callerGone, balancer.Abandoned
 		}
-		x.lastEvent = event.ID
+		if event.ID != "" {
+			x.lastEvent = event.ID
+		}
 	}
 }
 
-// resetStallTimer restarts the stall timer after an event.
+// resetStallTimer restarts the stall timer after an event or a part of an answer.
 func (a *attempt) resetStallTimer() {
-	a.hasEvent.Store(true)
 	if a.x.route.IsRepeatable() && a.x.runs < a.x.route.Attempts {
-		a.stallTimer.Reset(eventTimeout)
+		a.stallTimer.Reset(max(eventTimeout, eventTimeoutPauses*a.x.route.Gap))
 	}
 }
 
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/refuser"
 )
@@ -54,10 +54,11 @@
 	isUnknown   bool // an attempt may have run, and its answer cannot be forwarded
 	isHeadSent  bool // the head of the answer was sent to the caller
 	lastEvent   string
-	queueTime   time.Duration // from arrival to the start of the last attempt
-	first       time.Duration // from arrival to the first event of a stream
-	lastEventAt time.Time     // when the last event was written to the caller
-	weights     int64         // version of the weights that has answered so far; 0 for none
+	queueTime   time.Duration     // from arrival to the start of the last attempt
+	first       time.Duration     // from arrival to the first event of a stream
+	lastEventAt time.Time         // when the last event was written to the caller
+	weights     int64             // version of the weights that has answered so far; 0 for none
+	held        []*collector.Body // answers in memory until the call ends
 	// errorAnswer is a server error of an upstream. It is forwarded if no other attempt succeeds.
 	errorAnswer *bufferedAnswer
 }
@@ -94,6 +95,7 @@
 // run makes attempts until one is delivered or the caller disconnects. If no upstream is assigned
 // or the call may not be retried, it ends the call with finish.
 func (x *exchange) run(ctx context.Context) {
+	defer x.release()
 	x.f.first(x.service.Name)
 	for {
 		u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest())
@@ -127,6 +129,13 @@
 	}
 }
 
+// release gives up the answers that are held in memory.
+func (x *exchange) release() {
+	for _, b := range x.held {
+		b.Release()
+	}
+}
+
 // recordAnswered records the metrics of an answered call.
 func (x *exchange) recordAnswered() {
 	x.f.c.Meter.Increment(meter.CounterAnswered)
@@ -319,11 +328,3 @@
 		to["Content-Type"] = nil
 	}
 }
-
-// readAll reads an answer up to maxAnswerBytes.
-func readAll(r io.Reader) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(r, maxAnswerBytes))
-}
-
-// maxAnswerBytes bounds the memory for one buffered answer. Longer answers are truncated.
-const maxAnswerBytes = 64 << 20
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/matcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/retrylimiter"
@@ -46,9 +47,10 @@
 
 // Forwarder answers the calls of one entry. It is safe for concurrent use.
 type Forwarder struct {
-	c       Config
-	state   atomic.Pointer[state]
-	leaving atomic.Bool
+	c         Config
+	collector *collector.Collector
+	state     atomic.Pointer[state]
+	leaving   atomic.Bool
 
 	mu         sync.Mutex
 	retries    *retrylimiter.Limiter
@@ -62,6 +64,14 @@
 	matcher *matcher.Matcher
 }
 
+// Bounds on the answers that are read whole before they are forwarded. Together they stay well below
+// the memory of a small instance.
+const (
+	maxAnswerBytes      = 8 << 20
+	maxAnswersBytes     = 24 << 20 // all answers at once, beyond the unshared part of each
+	unsharedAnswerBytes = 64 << 10
+)
+
 // crashesToBan is the number of crashed upstreams at which a request is banned.
 const crashesToBan = 3
 
@@ -69,6 +79,7 @@
 func New(c Config) *Forwarder {
 	return &Forwarder{
 		c:          c,
+		collector:  collector.New(collector.Config{MaxAnswer: maxAnswerBytes, MaxTotal: maxAnswersBytes, Unshared: unsharedAnswerBytes}),
 		retries:    retrylimiter.New(c.RetryBudget, time.Now()),
 		quarantine: quarantiner.New(quarantiner.Config{CrashesToBan: crashesToBan}),
 		random:     c.Random,
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -72,13 +72,18 @@
 		scenario(b)
 		// net/http waits for half a second on a connection whose body was not read.
 		time.Sleep(time.Second)
-		b.client.CloseIdleConnections()
-		for _, s := range b.servers {
-			s.Close()
-		}
+		b.close()
 	})
 }
 
+// close closes the caller's connections and all servers.
+func (b *bench) close() {
+	b.client.CloseIdleConnections()
+	for _, s := range b.servers {
+		s.Close()
+	}
+}
+
 func newBench(t *testing.T) *bench {
 	memoryNetwork := standin.NewMemoryNetwork(time.Millisecond, 0)
 	b := &bench{t: t, memoryNetwork: memoryNetwork, network: memoryNetwork.Host("d", "r", 0), runs: make(map[string]int), published: make(map[string]bool)}
@@ -147,10 +152,14 @@
 		w.Header().Set(standin.HeaderSigned, strconv.Itoa(n))
 		answer(w, r)
 	}))
-	b.view.Upstreams = append(b.view.Upstreams, foxtailwharf.Upstream{ID: strconv.Itoa(n), Service: "s", Address: address(n), FailureDomain: "d", Slots: 8})
+	b.view.Upstreams = append(b.view.Upstreams, upstreamAt(n))
 	b.update()
 }
 
+func upstreamAt(n int) foxtailwharf.Upstream {
+	return foxtailwharf.Upstream{ID: strconv.Itoa(n), Service: "s", Address: address(n), FailureDomain: "d", Slots: 8}
+}
+
 // update passes the current view to the forwarder and the assigner.
 func (b *bench) update() {
 	b.forwarder.SetView(b.view)
--- a/internal/request/splitter/splitter.go
+++ b/internal/request/splitter/splitter.go
@@ -11,12 +11,15 @@
 )
 
 // MaxEventBytes is the size above which an event is an error.
-const MaxEventBytes = 1 << 20
+const MaxEventBytes = 256 << 10
 
 // Event is a complete event, including the blank line that ends it.
 type Event struct {
 	Text []byte
 	ID   string // of the last id field; empty without one
+	// HasData is false for an event without a data field, such as a comment that only keeps a
+	// connection open.
+	HasData bool
 }
 
 // Splitter reads events from a stream.
@@ -33,11 +36,14 @@
 // Next returns the next complete event. The error is io.EOF if the stream ends between two events
 // and io.ErrUnexpectedEOF if it ends inside one.
 func (s *Splitter) Next() (event Event, err error) {
+	lineStart := 0
 	for {
-		line, err := s.reader.ReadSlice('\n')
-		event.Text = append(event.Text, line...)
+		part, err := s.reader.ReadSlice('\n')
+		event.Text = append(event.Text, part...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event.Text) <= MaxEventBytes:
+		case len(event.Text) > MaxEventBytes:
+			return event, errors.Errorf("Splitter.Next: event is longer than %d bytes", MaxEventBytes)
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(event.Text) == 0:
 			return event, io.EOF
@@ -45,13 +51,12 @@
 			return event, io.ErrUnexpectedEOF
 		case err != nil:
 			return event, err
-		case len(event.Text) > MaxEventBytes:
-			return event, errors.New("Splitter.Next: event is too long")
 		}
-		if isBlank(line) && len(event.Text) > len(line) {
-			event.ID = eventID(event.Text)
+		if isBlank(event.Text[lineStart:]) && lineStart > 0 {
+			event.readFields()
 			return event, nil
 		}
+		lineStart = len(event.Text)
 	}
 }
 
@@ -59,14 +64,14 @@
 	return len(bytes.TrimRight(line, "\r\n")) == 0
 }
 
-// eventID returns the value of the last id field of an event.
-func eventID(text []byte) (id string) {
-	for line := range bytes.Lines(text) {
+// readFields sets the members that come from the fields of the event.
+func (e *Event) readFields() {
+	for line := range bytes.Lines(e.Text) {
 		if value, hasID := bytes.CutPrefix(line, []byte("id:")); hasID {
-			id = string(bytes.TrimSpace(value))
+			e.ID = string(bytes.TrimSpace(value))
 		}
+		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data"))
 	}
-	return id
 }
 
 // fingerprintField is the start of the JSON field in which an engine names the version that wrote
--- a/internal/request/splitter/splitter_test.go
+++ b/internal/request/splitter/splitter_test.go
@@ -28,7 +28,7 @@
 		count := rapid.IntRange(1, 6).Draw(t, "events")
 		newline := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "newline")
 		for n := 1; n <= count; n++ {
-			data := strings.Repeat("x", rapid.SampledFrom([]int{0, 1, 5000}).Draw(t, "size"))
+			data := strings.Repeat("x", rapid.SampledFrom([]int{0, 1, 4089, 4090, 5000}).Draw(t, "size"))
 			fmt.Fprintf(&text, "id: %d%sdata: %s%s%s", n, newline, data, newline, newline)
 			ends[text.Len()] = n
 		}
