Entries of a large fleet exchange messages with half as many agents

Load it answers: control traffic at 30 entries and 31 engines a failure domain. Cause: every entry listened to all agents of its domain (up to 48) and ten of each other one, so that an agent sent about 430 reports a second and an entry's share of a free slot was 0.02.

Change: a tenth of the own domain's agents, at least 16 and at most 48; of the others about 20 together, spread evenly, one in 50 of large domains, at most 10 of each. Fleets up to 16 agents a domain and three domains keep what they had. A report is encoded once for all its receivers. Ruled out: a fixed 16 and 3, with which TestChoose showed agents without any entry at 400 entries and 3,400 agents.

--- a/internal/connection/notifier/notifier.go
+++ b/internal/connection/notifier/notifier.go
@@ -102,26 +102,31 @@
 // headerBytes is the length of a datagram's header: a sequence number and a time of 8 bytes each.
 const headerBytes = 16
 
+// typicalBytes is the initial capacity of the buffer for a datagram.
+const typicalBytes = 256
+
 // header returns the header of the next datagram to a receiver.
 func (n *Notifier) header(to netip.AddrPort) []byte {
 	n.mu.Lock()
 	n.sent[to]++
 	sequence := n.sent[to]
 	n.mu.Unlock()
-	header := binary.BigEndian.AppendUint64(make([]byte, 0, headerBytes), uint64(sequence))
+	header := binary.BigEndian.AppendUint64(make([]byte, 0, typicalBytes), uint64(sequence))
 	return binary.BigEndian.AppendUint64(header, uint64(n.c.Clock()))
 }
 
-// Send sends a message as JSON. A failure to send is only logged, as the datagram could be lost in
-// the network as well.
-func (n *Notifier) Send(to netip.AddrPort, message any) {
+// Send sends a message as JSON to each receiver. It is encoded once. A failure to send is only
+// logged, as the datagram could be lost in the network as well.
+func (n *Notifier) Send(message any, receivers ...netip.AddrPort) {
 	data, err := json.Marshal(message)
 	if err != nil {
 		n.c.Log.Error("notices: cannot encode a message", zap.Error(err))
 		return
 	}
-	if _, err := n.c.Socket.WriteTo(append(n.header(to), data...), net.UDPAddrFromAddrPort(to)); err != nil {
-		n.c.Log.Debug("notices: cannot send a message", zap.Stringer("To", to), zap.Error(err))
+	for _, to := range receivers {
+		if _, err := n.c.Socket.WriteTo(append(n.header(to), data...), net.UDPAddrFromAddrPort(to)); err != nil {
+			n.c.Log.Debug("notices: cannot send a message", zap.Stringer("To", to), zap.Error(err))
+		}
 	}
 }
 
--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -114,7 +114,7 @@
 // notifyCall tells an agent about a call that is being sent to its engine. It is sent at once,
 // apart from the regular notices.
 func (d *Distributor) notifyCall(u foxtailwharf.Upstream, tokens int) {
-	d.notifier.Send(d.c.Settings.PeerAddress(u.Address.Addr()), wire.FleetNotice{PlacedTokens: max(tokens, 1)})
+	d.notifier.Send(wire.FleetNotice{PlacedTokens: max(tokens, 1)}, d.c.Settings.PeerAddress(u.Address.Addr()))
 }
 
 // domainsOf lists the agents that are not draining, by failure domain.
@@ -164,7 +164,7 @@
 	if held.digest != notice.Digest && held.revision <= notice.ListRevision && (isNear || held.digest == "") {
 		notice.Domains = domains
 	}
-	d.notifier.Send(d.c.Settings.PeerAddress(u.Address.Addr()), notice)
+	d.notifier.Send(notice, d.c.Settings.PeerAddress(u.Address.Addr()))
 }
 
 // listAndDelay returns the list that an agent has and the delay of its reports.
@@ -251,7 +251,7 @@
 	notice := d.notice(v, report.Service)
 	notice.Domains = domainsOf(byService(agents)[report.Service])
 	notice.Digest = digestOf(notice.Domains)
-	d.notifier.Send(to, notice)
+	d.notifier.Send(notice, to)
 }
 
 // otherEntry is another entry, as an agent or an entry last listed it.
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -123,16 +123,12 @@
 	} else {
 		r.entriesSentAt = now
 	}
-	for _, to := range near {
-		r.p.notifier.Send(to, report)
-	}
-	if !isFar {
-		return
-	}
-	r.farSentAt = now
-	for _, to := range far {
-		r.p.notifier.Send(to, report)
+	receivers := near
+	if isFar {
+		r.farSentAt = now
+		receivers = append(receivers, far...)
 	}
+	r.p.notifier.Send(report, receivers...)
 }
 
 // reportToSeeds sends a report to the seed entries, so that this agent becomes known to the
@@ -144,7 +140,7 @@
 	r.nearSentAt = now
 	report.Service = r.p.c.Settings.Service
 	for _, seed := range r.p.c.Settings.Seeds {
-		r.p.notifier.Send(r.p.c.Settings.PeerAddress(seed.Addr()), report)
+		r.p.notifier.Send(report, r.p.c.Settings.PeerAddress(seed.Addr()))
 	}
 }
 
--- a/internal/process/subsetter/subsetter.go
+++ b/internal/process/subsetter/subsetter.go
@@ -14,12 +14,19 @@
 
 // Sizes of the subset.
 const (
-	// maxLocal limits the agents of the own failure domain. An entry sends them its share of the
-	// domain's calls, about twenty a second, and finds free slots among this many.
-	maxLocal = 48
-	// maxRemote limits the agents of each other failure domain. They have slots for a few
-	// seconds of an entry's calls if its own domain loses all engines.
-	maxRemote = 10
+	// minLocal and maxLocal bound the agents of the own failure domain, of which an entry chooses
+	// one in localFraction. It sends them its share of the domain's calls, about twenty a second,
+	// and finds free slots among this many. The fewer entries share an engine, the larger is each
+	// one's share of its free slots; but each agent needs an entry.
+	minLocal      = 16
+	maxLocal      = 48
+	localFraction = 10
+	// allRemote is how many agents of all other failure domains an entry chooses together while
+	// domains are small, spread evenly, and one in remoteFraction of each large domain. They have
+	// slots for a few seconds of an entry's calls if its own domain loses all engines.
+	allRemote      = 20
+	remoteFraction = 50
+	maxRemote      = 10 // of each domain
 )
 
 // Choose returns the subset for the entry named self in a failure domain, sorted by ID.
@@ -28,10 +35,11 @@
 	for _, a := range agents {
 		byDomain[a.FailureDomain] = append(byDomain[a.FailureDomain], a)
 	}
+	evenRemote := allRemote / max(len(byDomain)-1, 1)
 	for name, list := range byDomain {
-		limit := maxRemote
+		limit := min(max(evenRemote, len(list)/remoteFraction), maxRemote)
 		if name == domain {
-			limit = maxLocal
+			limit = min(max(len(list)/localFraction, minLocal), maxLocal)
 		}
 		slices.SortFunc(list, func(a, b foxtailwharf.Upstream) int {
 			return cmp.Compare(score(self, b), score(self, a))
--- a/internal/process/subsetter/subsetter_test.go
+++ b/internal/process/subsetter/subsetter_test.go
@@ -33,6 +33,8 @@
 		{44, 99, 3, 68, 44},
 		{100, 300, 3, 68, 60},
 		{400, 3400, 7, 108, 60},
+		{149, 156, 5, 36, 60},
+		{149, 265, 5, 36, 60},
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt.entries, " entries"), func(t *testing.T) {
