Views that differ only in their proof change nothing in an entry

Load it answers: the processor time of idle and busy entries of a large fleet. Cause, from the same profile: every poll of the domain's source, twice a second and entry, rebuilt the list of upstreams, hashed and sorted all agents for the subset, and replaced the balancer's list (7.6 % of the time), and each answer to such a poll allocated a compressor of several hundred kilobytes (5 %, and most of the garbage).

Change: the list is rebuilt and put into effect only if the configuration, the sequence of the list or the releases differ; compressors are reused.

--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -71,6 +71,7 @@
 type Distributor struct {
 	c         Config
 	follower  *follower.Follower
+	applied   follower.View // the last view put into effect
 	assigner  *assigner.Assigner
 	requester *requester.Requester
 	forwarder *forwarder.Forwarder
@@ -268,8 +269,15 @@
 	}
 }
 
-// applyView puts a new view of the store into effect.
+// applyView puts a new view of the store into effect. Most views differ only in the proof of the
+// configuration. The follower calls it one view at a time.
 func (d *Distributor) applyView(v follower.View) {
+	isSame := v.IsSame(d.applied)
+	d.applied = v
+	if isSame {
+		d.forwarder.SetView(v)
+		return
+	}
 	d.updateFromView(v)
 	d.forwarder.SetView(v)
 	d.assigner.Update(func(b *balancer.Balancer) {
--- a/internal/process/distributor/packer.go
+++ b/internal/process/distributor/packer.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"strings"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -16,6 +17,13 @@
 // maxPackedBytes limits the unpacked size of one document.
 const maxPackedBytes = 16 << 20
 
+// compressors keeps compressors for reuse, since each takes several hundred kilobytes.
+var compressors = sync.Pool{New: func() any {
+	// The error is only for an invalid level.
+	compressor, _ := flate.NewWriter(io.Discard, flate.BestSpeed)
+	return compressor
+}}
+
 // packedDocument is a configuration as compressed JSON.
 type packedDocument struct {
 	version int64
@@ -43,10 +51,12 @@
 func pack(document any) (string, error) {
 	var text strings.Builder
 	encoder := base64.NewEncoder(base64.StdEncoding, &text)
-	compressor, err := flate.NewWriter(encoder, flate.BestSpeed)
-	if err != nil {
-		return "", errors.Wrap(err, "distributor.pack")
+	compressor, isCompressor := compressors.Get().(*flate.Writer)
+	if !isCompressor {
+		return "", errors.New("distributor.pack: no compressor")
 	}
+	defer compressors.Put(compressor)
+	compressor.Reset(encoder)
 	if err := json.NewEncoder(compressor).Encode(document); err != nil {
 		return "", errors.Wrap(err, "distributor.pack")
 	}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -84,19 +84,20 @@
 	c    Config
 	done []chan struct{}
 
-	mu         sync.Mutex
-	view       View
-	changed    chan struct{} // closed when the view changes
-	upstreams  map[string]foxtailwharf.Upstream
-	changedAt  map[string]uint64                         // sequence of the last change, by ID
-	goneAt     map[string]uint64                         // sequence of the removal, by ID
-	goneFloor  uint64                                    // removals up to this sequence are no longer known
-	reachable  chan struct{}                             // closed when the store answers again
-	base       Position                                  // position of the entry from which the list was taken; zero if from the store
-	releases   map[string]foxtailwharf.Release           // by model
-	graceUntil map[string]time.Duration                  // end of the grace period, by ID of the upstream
-	outageEnd  time.Duration                             // end of the last outage, by the clock; 0 for none
-	calls      map[foxtailwharf.FleetSubject]pendingCall // in progress
+	mu             sync.Mutex
+	view           View
+	listedSequence uint64        // sequence of the list in the view
+	changed        chan struct{} // closed when the view changes
+	upstreams      map[string]foxtailwharf.Upstream
+	changedAt      map[string]uint64                         // sequence of the last change, by ID
+	goneAt         map[string]uint64                         // sequence of the removal, by ID
+	goneFloor      uint64                                    // removals up to this sequence are no longer known
+	reachable      chan struct{}                             // closed when the store answers again
+	base           Position                                  // position of the entry from which the list was taken; zero if from the store
+	releases       map[string]foxtailwharf.Release           // by model
+	graceUntil     map[string]time.Duration                  // end of the grace period, by ID of the upstream
+	outageEnd      time.Duration                             // end of the last outage, by the clock; 0 for none
+	calls          map[foxtailwharf.FleetSubject]pendingCall // in progress
 }
 
 // New returns a follower with an empty view. Start begins to fill it.
@@ -255,12 +256,15 @@
 	}
 }
 
-// publish rebuilds the view, wakes those that wait for a change, and calls OnChange.
+// publish updates the view's lists, wakes those that wait for a change, and calls OnChange.
 func (f *Follower) publish() {
 	f.expireGrace(f.c.Clock())
-	f.view.Upstreams = make([]foxtailwharf.Upstream, 0, len(f.upstreams))
-	for _, id := range slices.Sorted(maps.Keys(f.upstreams)) {
-		f.view.Upstreams = append(f.view.Upstreams, f.upstreams[id])
+	if f.listedSequence != f.view.Sequence {
+		f.listedSequence = f.view.Sequence
+		f.view.Upstreams = make([]foxtailwharf.Upstream, 0, len(f.upstreams))
+		for _, id := range slices.Sorted(maps.Keys(f.upstreams)) {
+			f.view.Upstreams = append(f.view.Upstreams, f.upstreams[id])
+		}
 	}
 	f.view.Releases = make([]foxtailwharf.Release, 0, len(f.releases))
 	for _, model := range slices.Sorted(maps.Keys(f.releases)) {
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -239,6 +239,35 @@
 	})
 }
 
+// TestIsSame checks that views which differ only in their proof are the same, and that a change of
+// the list, the releases or the configuration tells views apart.
+func TestIsSame(t *testing.T) {
+	run(t, func(b *bench) {
+		changes := []struct {
+			name   string
+			change func()
+			want   bool
+		}{
+			{"nothing but a newer proof", func() {}, true},
+			{"a new upstream", func() { b.store.PutUpstream(foxtailwharf.Upstream{ID: "u1"}) }, false},
+			{"a new release", func() { b.store.Release(foxtailwharf.Release{Model: "m", Version: 2}) }, false},
+			{"a new configuration", func() { b.store.PutConfiguration(foxtailwharf.Configuration{Version: 9}) }, false},
+		}
+		for _, tt := range changes {
+			before := b.follower.View()
+			tt.change()
+			time.Sleep(2 * time.Second)
+			after := b.follower.View()
+			if after.ConfiguredAt == before.ConfiguredAt {
+				t.Errorf("%s: the proof is as old as before", tt.name)
+			}
+			if have := after.IsSame(before); have != tt.want {
+				t.Errorf("%s: have %t, want %t", tt.name, have, tt.want)
+			}
+		}
+	})
+}
+
 // TestOlderListIsIgnored checks that a list of another entry which was read later but at an older
 // revision does not bring back a removed upstream.
 func TestOlderListIsIgnored(t *testing.T) {
--- a/internal/process/follower/view.go
+++ b/internal/process/follower/view.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -31,6 +32,13 @@
 	return v.Configuration.Version
 }
 
+// IsSame reports whether two views of one process have the same configuration, upstreams and
+// releases. Their proofs and revisions may differ.
+func (v View) IsSame(other View) bool {
+	return v.Configuration == other.Configuration && v.Sequence == other.Sequence &&
+		v.HasReleases == other.HasReleases && slices.Equal(v.Releases, other.Releases)
+}
+
 // Revisions holds the store revision up to which each subject is complete; 0 before its first
 // read. Lists are compared by revision and not by age: a watch that has just been started knows
 // less than one that has just been answered.
