--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -82,13 +82,16 @@
 	return nil
 }
 
+// defaultBodyBytes bounds a request body if the configuration does not.
+const defaultBodyBytes = 8 << 20
+
 // readBody buffers the whole body, so that the call can be sent again to a second upstream.
 func (x *exchange) readBody(w http.ResponseWriter, r *http.Request, limits foxtailwharf.CallLimits) *foxtailwharf.Refusal {
-	body := r.Body
-	if limits.BodyBytes > 0 {
-		body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
 	}
-	data, err := io.ReadAll(body)
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- /dev/null
+++ b/internal/request/forwarder/copies_test.go
@@ -0,0 +1,141 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/standin"
+)
+
+// copyTime is when an upstream sends the second copy of an answer.
+type copyTime int
+
+const (
+	copyAtOnce      copyTime = iota // together with the answer
+	copyWhileIdle                   // while the connection is in the pool
+	copyBeforeReply                 // right before the answer to the next request on the connection
+)
+
+// copyingUpstream answers each request with the ID of its call, and sends a second copy of each
+// answer on the same connection.
+type copyingUpstream struct {
+	listener net.Listener
+	when     copyTime
+	done     sync.WaitGroup
+}
+
+func (b *bench) copying(n int, when copyTime) *copyingUpstream {
+	listener, err := b.network.Listen(b.t.Context(), address(n))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	u := &copyingUpstream{listener: listener, when: when}
+	u.done.Add(1)
+	go u.run()
+	b.view.Upstreams = append(b.view.Upstreams, upstreamAt(n))
+	b.update()
+	return u
+}
+
+func (u *copyingUpstream) run() {
+	defer u.done.Done()
+	for {
+		conn, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		u.done.Add(1)
+		go u.serve(conn)
+	}
+}
+
+func (u *copyingUpstream) serve(conn net.Conn) {
+	defer u.done.Done()
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	last := ""
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		// A body that cannot be read shows at the next request.
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get(standin.HeaderCall)
+		reply := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 2\r\nContent-Length: %d\r\n\r\n%s", standin.HeaderCall, id, standin.HeaderSigned, len(id), id)
+		text := reply
+		switch u.when {
+		case copyAtOnce:
+			text += reply
+		case copyBeforeReply:
+			text = last + reply
+		case copyWhileIdle:
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		if u.when == copyWhileIdle {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, reply)
+		}
+		last = reply
+	}
+}
+
+func (u *copyingUpstream) close() {
+	_ = u.listener.Close()
+	u.done.Wait()
+}
+
+// TestSecondCopy checks that a second copy of an answer never reaches another caller, whenever it
+// arrives, and that calls which may not be repeated are not harmed.
+func TestSecondCopy(t *testing.T) {
+	for name, when := range map[string]copyTime{"at once": copyAtOnce, "while idle": copyWhileIdle, "before the next reply": copyBeforeReply} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				u := b.copying(2, when)
+				for n := range 20 {
+					path := []string{"/look/1", "/book/1"}[n%2]
+					a := b.call(path, nil)
+					if a.status == http.StatusOK && a.body != a.id {
+						t.Errorf("%s got the answer of %s", a.id, a.body)
+					}
+					if path == "/book/1" && a.status != http.StatusOK {
+						t.Errorf("%s: status %d, want 200", a.id, a.status)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				b.requester.CloseIdle()
+				u.close()
+			})
+		})
+	}
+}
+
+// TestLongRequestBody checks that a request body without end is refused although the
+// configuration sets no limit.
+func TestLongRequestBody(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, text(http.StatusOK, "ok"))
+		a := b.call("/look/1", func(r *http.Request) {
+			r.Body = io.NopCloser(io.LimitReader(endlessReader{}, 64<<20))
+		})
+		if a.status != http.StatusRequestEntityTooLarge || b.ran(a) != 0 {
+			t.Errorf("status %d after %d runs, error %v; want 413 and no run", a.status, b.ran(a), a.err)
+		}
+	})
+}
+
+// endlessReader reads the same byte without end.
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) {
+	return copy(p, strings.Repeat("x", len(p))), nil
+}
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -37,6 +37,7 @@
 	t             *testing.T
 	memoryNetwork *standin.MemoryNetwork
 	network       *standin.Host
+	requester     *requester.Requester
 	forwarder     *forwarder.Forwarder
 	assigner      *assigner.Assigner
 	client        *http.Client
@@ -88,10 +89,11 @@
 	memoryNetwork := standin.NewMemoryNetwork(time.Millisecond, 0)
 	b := &bench{t: t, memoryNetwork: memoryNetwork, network: memoryNetwork.Host("d", "r", 0), runs: make(map[string]int), published: make(map[string]bool)}
 	b.assigner = assigner.New(balancer.New(balancer.Config{FailureDomain: "d", Random: rand.New(rand.NewPCG(1, 1))}))
+	b.requester = requester.New(requester.Config{Network: b.network})
 	b.forwarder = forwarder.New(forwarder.Config{
 		Dialect:             standin.Dialect{},
 		Assigner:            b.assigner,
-		Requester:           requester.New(requester.Config{Network: b.network}),
+		Requester:           b.requester,
 		Meter:               meter.New(),
 		Clock:               func() time.Duration { return b.clock },
 		MaxConfigurationAge: maxConfigurationAge,
