When the reader of the store loses it, the next in rank reads, not the whole domain

Load it answers: a store that turns some machines away, or a source that ends, in domains of 30 entries. An entry whose source had lost the store read the store itself for 3 s, and so did all others of the domain at once, although any one of them was enough.

Change: the four first in rank are sources in their order. A source that relies on another entry itself, because it has not noticed yet, is asked again after 0.3 s. Only when all four fail does each entry read the store itself.

Ruled out: a lease for the reader (writes, and a paused holder).

--- a/internal/process/delegator/delegator.go
+++ b/internal/process/delegator/delegator.go
@@ -3,12 +3,16 @@
 // fleets of many entries: each call to the store has a cost, and a large document that many
 // entries read at once fills the link to the store's region. There is no election. Each entry
 // ranks the entries that it knows by rendezvous hashing, and for a while excludes a source that
-// does not answer, so that two differing views cost only a few extra calls. The package does no
-// I/O and reads no clock.
+// does not answer or has lost the store. Then the next in rank is the source, so that the load of
+// the store stays the same while it turns some machines away. Two differing views cost only a few
+// extra calls. The package does no I/O and reads no clock.
 package delegator
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -25,6 +29,12 @@
 	maxProofAge = 3 * time.Second
 	// excludeTime is how long an entry is excluded as a source after it gave no valid reply.
 	excludeTime = 3 * time.Second
+	// relyingTime replaces excludeTime for a source that itself relies on another entry. It has
+	// to read the store as soon as it learns that its own source has failed.
+	relyingTime = 300 * time.Millisecond
+	// maxSources is the number of entries, the first in rank, that others rely on. If all of them
+	// fail, the cause may concern the whole failure domain, and each entry reads the store itself.
+	maxSources = 4
 	// startupTime is how long an entry that has just started waits for a source that has just
 	// started, too, and still has to read the store.
 	startupTime = 1500 * time.Millisecond
@@ -39,14 +49,14 @@
 // Delegator holds the decision of one entry. It is not safe for concurrent use.
 type Delegator struct {
 	c         Config
-	highest   netip.AddrPort // highest-ranked known entry of the failure domain
+	sources   []netip.AddrPort // the first known entries of the failure domain in rank, at most maxSources
 	excluded  map[netip.AddrPort]time.Time
 	lastReply time.Time // last valid reply of the source; zero for none since its last failure
 }
 
 // New returns a Delegator that knows no other entries, so that it has no source.
 func New(c Config) *Delegator {
-	return &Delegator{c: c, highest: c.Self, excluded: make(map[netip.AddrPort]time.Time)}
+	return &Delegator{c: c, excluded: make(map[netip.AddrPort]time.Time)}
 }
 
 // Self returns the address of the entry that decides.
@@ -56,12 +66,12 @@
 
 // SetEntries sets the other known entries of the failure domain.
 func (d *Delegator) SetEntries(others []netip.AddrPort) {
-	d.highest = d.c.Self
+	ranks := map[netip.AddrPort]uint64{d.c.Self: rank(d.c.Self)}
 	for _, other := range others {
-		if rank(other) > rank(d.highest) {
-			d.highest = other
-		}
+		ranks[other] = rank(other)
 	}
+	ranked := slices.SortedFunc(maps.Keys(ranks), func(a, b netip.AddrPort) int { return cmp.Compare(ranks[b], ranks[a]) })
+	d.sources = ranked[:min(len(ranked), maxSources)]
 }
 
 // rank orders the entries of a failure domain identically in all processes.
@@ -71,10 +81,15 @@
 
 // Source returns the entry to rely on, or false if this one has to read the store itself.
 func (d *Delegator) Source(now time.Time) (netip.AddrPort, bool) {
-	if d.highest == d.c.Self || d.excluded[d.highest].After(now) {
-		return netip.AddrPort{}, false
+	for _, source := range d.sources {
+		if source == d.c.Self {
+			break
+		}
+		if !d.excluded[source].After(now) {
+			return source, true
+		}
 	}
-	return d.highest, true
+	return netip.AddrPort{}, false
 }
 
 // Reply is what another entry reports of its access to the store.
@@ -91,11 +106,15 @@
 	if reply.IsNew && !reply.IsLost && d.isStarting(now) {
 		return false
 	}
-	if !reply.HasProof || reply.Age > maxProofAge || reply.IsRelying || reply.IsLost {
+	source, isRelying := d.Source(now)
+	switch {
+	case reply.IsRelying:
+		d.exclude(now, from, relyingTime)
+		return false
+	case !reply.HasProof || reply.Age > maxProofAge || reply.IsLost:
 		d.HandleFailure(now, from)
 		return false
-	}
-	if from == d.highest {
+	case isRelying && from == source:
 		d.lastReply = now
 	}
 	return true
@@ -103,7 +122,12 @@
 
 // HandleFailure records that an entry gave no valid reply and excludes it as a source for a while.
 func (d *Delegator) HandleFailure(now time.Time, from netip.AddrPort) {
-	d.excluded[from] = now.Add(excludeTime)
+	d.exclude(now, from, excludeTime)
+}
+
+// exclude excludes an entry as a source for some time.
+func (d *Delegator) exclude(now time.Time, from netip.AddrPort, length time.Duration) {
+	d.excluded[from] = now.Add(length)
 	d.lastReply = time.Time{}
 	for other, until := range d.excluded {
 		if !until.After(now) {
--- a/internal/process/delegator/delegator_test.go
+++ b/internal/process/delegator/delegator_test.go
@@ -58,6 +58,48 @@
 	}
 }
 
+// TestNextReads guards against a store that all entries of a domain read at once after their source
+// has lost it: the next in rank reads it, and the others rely on that one. Once several sources in
+// a row have failed, each entry reads the store itself.
+func TestNextReads(t *testing.T) {
+	now := time.Unix(100, 0)
+	all := domain(30)
+	lost := make(map[netip.AddrPort]bool)
+	for _, want := range []int{1, 1, 1, 26} {
+		for _, r := range all {
+			source, isRelying := r.Source(now)
+			if !isRelying {
+				source = r.Self()
+			}
+			lost[source] = true
+		}
+		reading := 0
+		for _, r := range all {
+			for source := range lost {
+				r.HandleReply(now, source, delegator.Reply{HasProof: true, IsLost: true})
+			}
+			if _, isRelying := r.Source(now); !isRelying && !lost[r.Self()] {
+				reading++
+			}
+		}
+		if reading != want {
+			t.Errorf("%d entries read the store after %d sources have lost it, want %d", reading, len(lost), want)
+		}
+	}
+}
+
+// TestSourceRelies checks that a source which does not know yet that it has to read the store is
+// asked again soon.
+func TestSourceRelies(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := relying(t)
+	source, _ := r.Source(now)
+	r.HandleReply(now, source, delegator.Reply{HasProof: true, IsRelying: true})
+	if again, isRelying := r.Source(now.Add(500 * time.Millisecond)); !isRelying || again != source {
+		t.Error("a source that relied on another entry is not asked again within half a second")
+	}
+}
+
 func TestHandleReply(t *testing.T) {
 	valid := delegator.Reply{HasProof: true, Age: time.Second}
 	tests := []struct {
--- a/standin/simulator/scale_test.go
+++ b/standin/simulator/scale_test.go
@@ -99,6 +99,44 @@
 	})
 }
 
+// TestStoreTurnsReadersAway guards against a store that all entries read at once while it turns away
+// the ones that read it for their failure domains. The other entries together make no more calls
+// than one reader of each domain, with as much again for the change of readers.
+func TestStoreTurnsReadersAway(t *testing.T) {
+	t.Parallel()
+	run(t, simulator.Config{Entries: 30, Engines: 6, Slots: 8, Events: 8}, 0, func(h *harness) {
+		time.Sleep(10 * time.Second) // until the last watches of the entries that rely on another one end
+		before := make(map[string]int)
+		for _, e := range h.Entries {
+			before[e.Name] = h.Store.Calls(e.Name)
+		}
+		time.Sleep(4 * time.Second)
+		isTurnedAway := make(map[string]bool)
+		for _, e := range h.Entries {
+			if h.Store.Calls(e.Name) > before[e.Name] {
+				isTurnedAway[e.Name] = true
+				h.Store.SetUnavailable(e.Name, true)
+			}
+			before[e.Name] = h.Store.Calls(e.Name)
+		}
+		const span = 9 * time.Second
+		time.Sleep(span)
+		calls := 0
+		for _, e := range h.Entries {
+			if !isTurnedAway[e.Name] {
+				calls += h.Store.Calls(e.Name) - before[e.Name]
+			}
+		}
+		t.Logf("%d calls of the entries that are not turned away", calls)
+		if want := 2 * 3 * callsPerSecond * span.Seconds(); float64(calls) > want {
+			t.Errorf("%d calls to the store in %s, want at most %.0f", calls, span, want)
+		}
+		h.Store.PutConfiguration(h.Configuration(2, simulator.Key, "k2"))
+		time.Sleep(time.Second)
+		h.checkVersion(2)
+	})
+}
+
 // checkVersion checks the version of the configuration in force at all running entries.
 func (h *harness) checkVersion(want int64) {
 	h.t.Helper()
