Callers that are refused in an outage come back when it may be over

Load it answers: a service that no upstream can serve for seconds, as after a loss of power.

Change (package returner): an outage that has lasted some time is expected to last about as long again, so returns come after that time, up to 0.3 of the time left and 2 s, spread over a quarter of it. While upstreams are only busy, nothing changes.

--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -27,12 +27,6 @@
 	// maxQueueFraction is the fraction of the time until its deadline for which a call may wait
 	// for an engine with capacity. Calls to plain services may wait until the deadline.
 	maxQueueFraction = 0.45
-	// retryAfterFraction bounds the Retry-After of a refusal, as a fraction of the time left
-	// until the deadline.
-	retryAfterFraction = 0.3
-	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal.
-	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 1500 * time.Millisecond
 )
 
 // exchange is the state of one call from its admission to its answer.
@@ -99,6 +93,7 @@
 	x.f.first(x.service.Name)
 	for {
 		u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest())
+		x.f.recordAssignment(x.service.Name, refusal)
 		if refusal != nil {
 			x.finish(ctx, refusal)
 			return
@@ -254,14 +249,10 @@
 }
 
 // refuse answers with a refusal. If the call has not run and the refusal has no Retry-After, it
-// sets a random one within the time left until the deadline.
+// sets one within the time left until the deadline.
 func (x *exchange) refuse(refusal *foxtailwharf.Refusal) {
 	if refusal.IsNotRun && refusal.RetryAfter == 0 && !x.deadline.IsZero() {
-		left := time.Until(x.deadline)
-		retryAfter := min(time.Duration(float64(left)*retryAfterFraction), maxRetryAfter)
-		if retryAfter > minRetryAfter {
-			refusal.RetryAfter = minRetryAfter + time.Duration(x.f.randomFloat()*float64(retryAfter-minRetryAfter))
-		}
+		refusal.RetryAfter = x.f.returnDelay(x.service.Name, time.Until(x.deadline))
 	}
 	x.log("refused", zap.String("Reason", string(refusal.Reason)), zap.Bool("NotRun", refusal.IsNotRun),
 		zap.Duration("RetryAfter", refusal.RetryAfter))
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/request/matcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/retrylimiter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/returner"
 )
 
 // Config holds the settings of a Forwarder.
@@ -54,6 +55,7 @@
 
 	mu         sync.Mutex
 	retries    *retrylimiter.Limiter
+	returner   *returner.Returner
 	quarantine *quarantiner.Quarantiner
 	random     *rand.Rand
 }
@@ -82,6 +84,7 @@
 		collector:  collector.New(collector.Config{MaxAnswer: maxAnswerBytes, MaxTotal: maxAnswersBytes, Unshared: unsharedAnswerBytes}),
 		retries:    retrylimiter.New(c.RetryBudget, time.Now()),
 		quarantine: quarantiner.New(quarantiner.Config{CrashesToBan: crashesToBan}),
+		returner:   returner.New(c.Random),
 		random:     c.Random,
 	}
 }
@@ -108,6 +111,26 @@
 	f.retries.SetRetryExtra(extra)
 }
 
+// recordAssignment records whether a call of a service was given an upstream, or could be given to
+// none.
+func (f *Forwarder) recordAssignment(service string, refusal *foxtailwharf.Refusal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case refusal == nil:
+		f.returner.Assigned(service)
+	case refusal.Reason == foxtailwharf.ReasonNoUpstream:
+		f.returner.NoUpstream(time.Now(), service)
+	}
+}
+
+// returnDelay returns when the caller of a refused call should come back.
+func (f *Forwarder) returnDelay(service string, left time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.returner.Delay(time.Now(), service, left)
+}
+
 // CloseConnections makes the forwarder close each caller's connection after the next answer.
 func (f *Forwarder) CloseConnections() {
 	f.leaving.Store(true)
