Revert the refusal of waiting calls by an estimate of their wait

Cause of the loss: the estimate takes an overload to last as long as the wait of a call. Not known is not "cannot be served".

--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -12,7 +12,6 @@
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/waitestimator"
 )
 
 // Request is a call that needs an upstream.
@@ -24,9 +23,6 @@
 	WaitUntil    time.Time // end of the wait for capacity
 }
 
-// checkInterval is the time between two searches for waiting calls that can no longer be served.
-const checkInterval = 100 * time.Millisecond
-
 // maxDispatchPause is how long reports that leave no room for a call may postpone dispatch. Capacity
 // also appears with time, when a backoff or a backlog of prompts ends.
 const maxDispatchPause = 20 * time.Millisecond
@@ -37,33 +33,20 @@
 	balancer     *balancer.Balancer
 	queue        *queuer.Queuer
 	waiters      map[uint64]*waiter
-	estimators   map[string]*waitestimator.Estimator // by service
-	lastID       uint64                              // of the newest waiter
+	lastID       uint64 // of the newest waiter
 	dispatchedAt time.Time
-	checkedAt    time.Time // when hopeless calls were last looked for
 }
 
 // waiter is a call in the queue. The channel has a buffer of one, so that dispatch never blocks.
 type waiter struct {
-	id      uint64
-	request Request
-	ended   chan decision
-}
-
-// decision ends the wait of a call.
-type decision struct {
-	upstream foxtailwharf.Upstream
-	refusal  *foxtailwharf.Refusal // nil if the call was given the upstream
-}
-
-// refuseHopeless is the refusal for a call that cannot be served before the end of its wait.
-func refuseHopeless() *foxtailwharf.Refusal {
-	return foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "too many calls wait for an upstream")
+	id       uint64
+	request  Request
+	assigned chan foxtailwharf.Upstream
 }
 
 // New returns an assigner that owns the balancer: nothing else may use it.
 func New(b *balancer.Balancer) *Assigner {
-	return &Assigner{balancer: b, queue: queuer.New(), waiters: make(map[uint64]*waiter), estimators: make(map[string]*waitestimator.Estimator)}
+	return &Assigner{balancer: b, queue: queuer.New(), waiters: make(map[uint64]*waiter)}
 }
 
 // Update changes the balancer under the lock and assigns the capacity that this has freed.
@@ -134,8 +117,8 @@
 	timer := time.NewTimer(time.Until(request.WaitUntil))
 	defer timer.Stop()
 	select {
-	case d := <-w.ended:
-		return d.upstream, d.refusal
+	case u = <-w.assigned:
+		return u, nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -152,75 +135,25 @@
 		return nil, foxtailwharf.Upstream{}, foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "no upstream is eligible for the call")
 	}
 	a.lastID++
-	w := &waiter{id: a.lastID, request: request, ended: make(chan decision, 1)}
+	w := &waiter{id: a.lastID, request: request, assigned: make(chan foxtailwharf.Upstream, 1)}
 	a.waiters[a.lastID] = w
 	a.queue.Add(queuer.Item{ID: a.lastID, Service: request.Requirements.Service, Rank: request.Rank, Arrived: request.Arrived, StartBy: request.StartBy})
-	item := a.queue.Get(a.lastID)
-	a.estimator(item.Service).Arrived(now, item.Score(now))
 	a.dispatch(now)
-	if a.queue.Get(w.id) != nil && a.isHopeless(now, item) {
-		a.end(w, decision{refusal: refuseHopeless()})
-	}
 	select {
-	case d := <-w.ended:
-		return nil, d.upstream, d.refusal
+	case u := <-w.assigned:
+		return nil, u, nil
 	default:
 		return w, foxtailwharf.Upstream{}, nil
 	}
 }
 
-// estimator returns the estimator of a service.
-func (a *Assigner) estimator(service string) *waitestimator.Estimator {
-	e, isKnown := a.estimators[service]
-	if !isKnown {
-		e = &waitestimator.Estimator{}
-		a.estimators[service] = e
-	}
-	return e
-}
-
-// isHopeless reports whether a waiting call is not expected to be served before the end of its
-// wait. The lock must be held.
-func (a *Assigner) isHopeless(now time.Time, item *queuer.Item) bool {
-	e := a.estimator(item.Service)
-	score := item.Score(now)
-	wait, isKnown := e.Wait(now, score, a.queue.Ahead(now, item, score))
-	if !isKnown || wait < item.StartBy.Sub(now) {
-		return false
-	}
-	// The call will be late, and others then go first.
-	score = item.LateScore()
-	wait, _ = e.Wait(now, score, a.queue.Ahead(now, item, score))
-	return wait > a.waiters[item.ID].request.WaitUntil.Sub(now)
-}
-
-// refuseHopelessCalls refuses the waiting calls that can no longer be served. The lock must be held.
-func (a *Assigner) refuseHopelessCalls(now time.Time) {
-	if now.Sub(a.checkedAt) < checkInterval {
-		return
-	}
-	a.checkedAt = now
-	for _, item := range a.queue.Waiting() {
-		if a.isHopeless(now, item) {
-			a.end(a.waiters[item.ID], decision{refusal: refuseHopeless()})
-		}
-	}
-}
-
-// end ends the wait of a call. The lock must be held.
-func (a *Assigner) end(w *waiter, d decision) {
-	a.queue.Remove(w.id)
-	delete(a.waiters, w.id)
-	w.ended <- d
-}
-
 // cancelWait removes a call from the queue, unless it was assigned an upstream meanwhile.
 func (a *Assigner) cancelWait(w *waiter) (foxtailwharf.Upstream, *foxtailwharf.Refusal) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	select {
-	case d := <-w.ended:
-		return d.upstream, d.refusal
+	case u := <-w.assigned:
+		return u, nil
 	default:
 	}
 	a.queue.Remove(w.id)
@@ -240,7 +173,7 @@
 	for a.queue.Len() > 0 {
 		item := a.queue.Next(now, func(i *queuer.Item) bool { return !exhausted[class{i.Service, i.Rank}] })
 		if item == nil {
-			break
+			return
 		}
 		w := a.waiters[item.ID]
 		requirements := w.request.Requirements
@@ -250,12 +183,9 @@
 			exhausted[class{item.Service, item.Rank}] = true
 			continue
 		}
+		a.queue.Remove(item.ID)
+		delete(a.waiters, item.ID)
 		a.balancer.Sent(now, u.ID, w.request.Requirements.Tokens)
-		a.estimator(item.Service).Assigned(now)
-		a.end(w, decision{upstream: u})
-	}
-	for service, e := range a.estimators {
-		e.SetWaiting(now, a.queue.IsWaiting(service))
+		w.assigned <- u
 	}
-	a.refuseHopelessCalls(now)
 }
--- a/internal/request/queuer/queuer.go
+++ b/internal/request/queuer/queuer.go
@@ -5,9 +5,7 @@
 package queuer
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -90,50 +88,6 @@
 	return len(q.items)
 }
 
-// Score returns the current score of a call. Calls of a higher score are served first.
-func (i *Item) Score(now time.Time) float64 {
-	return i.score(now)
-}
-
-// LateScore returns the score that a call has once it can no longer meet its goal.
-func (i *Item) LateScore() float64 {
-	return i.weight * lateFactor
-}
-
-// Get returns a waiting call; nil if it is not in the queue.
-func (q *Queuer) Get(id uint64) *Item {
-	return q.items[id]
-}
-
-// Ahead returns the number of waiting calls of the same service that are served before a call
-// which would have a score.
-func (q *Queuer) Ahead(now time.Time, item *Item, score float64) (count int) {
-	for _, i := range q.items {
-		if i.Service != item.Service || i.ID == item.ID {
-			continue
-		}
-		if s := i.score(now); s > score || (s == score && i.Arrived.Before(item.Arrived)) {
-			count++
-		}
-	}
-	return count
-}
-
-// IsWaiting reports whether a call of a service waits.
-func (q *Queuer) IsWaiting(service string) bool {
-	for _, i := range q.items {
-		if i.Service == service {
-			return true
-		}
-	}
-	return false
-}
-
-// Waiting returns the waiting calls, in no order.
-func (q *Queuer) Waiting() []*Item {
-	return slices.Collect(maps.Values(q.items))
-}
-
 // Next returns the call with the highest score that passes the filter, the earliest of those with
 // the same score; nil for none. The call stays in the queue.
 func (q *Queuer) Next(now time.Time, filter func(*Item) bool) (best *Item) {
