--- a/standin/simulator/simulator_test.go
+++ b/standin/simulator/simulator_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -55,6 +56,8 @@
 	status  int
 	first   time.Duration // until the first event
 	sent    time.Time
+	// retryAfter is when the caller of a refused call should come back; 0 for never.
+	retryAfter time.Duration
 }
 
 func run(t *testing.T, c simulator.Config, emptyEngines int, scenario func(h *harness)) {
@@ -85,6 +88,11 @@
 
 // call sends one call and records its result.
 func (h *harness) call(entry *simulator.Entry, route, key string, promptTokens int) result {
+	return h.callWithin(entry, route, key, promptTokens, 0)
+}
+
+// callWithin is call by a caller that says how long it waits; 0 for not saying so.
+func (h *harness) callWithin(entry *simulator.Entry, route, key string, promptTokens int, timeout time.Duration) result {
 	h.mu.Lock()
 	h.lastID++
 	id := fmt.Sprintf("%s-%d", route, h.lastID)
@@ -95,9 +103,15 @@
 		h.t.Error(err)
 		return res
 	}
+	if timeout > 0 {
+		r.Header.Set(standin.HeaderTimeout, strconv.FormatInt(timeout.Milliseconds(), 10))
+	}
 	response, err := h.client.Do(r)
 	if err == nil {
 		res.status = response.StatusCode
+		if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+			res.retryAfter = time.Duration(seconds * float64(time.Second))
+		}
 		res.isWhole = h.readEvents(response, id, &res)
 		_ = response.Body.Close()
 	}
