--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -5,20 +5,14 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
-	"github.com/foxtailwharf/foxtailwharf/internal/process/distributor"
-	"github.com/foxtailwharf/foxtailwharf/internal/process/provisioner"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 )
 
@@ -59,29 +53,6 @@
 	Engines   []*Engine
 }
 
-// Entry is an entry process and its machine.
-type Entry struct {
-	Name     string
-	f        *Fleet
-	index    int
-	host     *standin.Host
-	process  *distributor.Distributor
-	isKilled bool
-	cancel   context.CancelFunc
-}
-
-// Engine is an engine, its agent and their machine.
-type Engine struct {
-	*standin.SlotEngine
-	ID     string
-	f      *Fleet
-	index  int
-	host   *standin.Host
-	server *standin.Server
-	agent  *provisioner.Provisioner
-	cancel context.CancelFunc
-}
-
 // New returns a fleet; Start starts it.
 func New(c Config) *Fleet {
 	if c.Domains == 0 {
@@ -182,142 +153,6 @@
 	return c
 }
 
-// Start starts the entry on a new machine, also after Kill.
-func (e *Entry) Start(ctx context.Context) error {
-	e.isKilled = false
-	e.host = e.f.network.Host(e.f.failureDomain(e.index), e.f.failureDomain(e.index), 0)
-	e.process = distributor.New(distributor.Config{
-		Settings: e.settings(), Store: e.f.Store.View(e.Name), Dialect: standin.Dialect{}, Network: e.host, PacketListener: e.host,
-		Clock: e.f.clock, Log: zap.NewNop(), Seed: uint64(e.index) + 1,
-	})
-	ctx, e.cancel = context.WithCancel(ctx)
-	return errors.Wrap(e.process.Start(ctx), "Entry.Start")
-}
-
-func (e *Entry) settings() foxtailwharf.FleetSettings {
-	s := e.f.settings(kindEntry, e.index, e.Name)
-	s.Callers = netip.AddrPortFrom(s.Address, callersPort)
-	s.Ready = netip.AddrPortFrom(s.Address, readyPort)
-	return s
-}
-
-// Kill stops the entry's machine without a graceful stop.
-func (e *Entry) Kill() {
-	e.isKilled = true
-	e.host.Kill()
-	e.cancel()
-}
-
-// IsKilled reports whether the entry is killed and has not been started again.
-func (e *Entry) IsKilled() bool {
-	return e.isKilled
-}
-
-// IsDraining reports whether the entry knows that an upstream is draining.
-func (e *Entry) IsDraining(id string) bool {
-	for _, u := range e.process.View().Upstreams {
-		if u.ID == id {
-			return u.IsDraining
-		}
-	}
-	return false
-}
-
-// Stop stops the entry gracefully.
-func (e *Entry) Stop(ctx context.Context) error {
-	defer e.cancel()
-	return e.process.Stop(ctx)
-}
-
-// Version returns the version of the configuration in force.
-func (e *Entry) Version() int64 {
-	return e.process.View().Version()
-}
-
-// Callers returns the address that callers connect to.
-func (e *Entry) Callers() netip.AddrPort {
-	return e.settings().Callers
-}
-
-// AddEngine starts an engine with its agent and adds it to the platform's list.
-func (f *Fleet) AddEngine(ctx context.Context, hasWeights bool) (*Engine, error) {
-	index := len(f.Engines)
-	e := &Engine{ID: fmt.Sprintf("engine-%d", index), f: f, index: index}
-	engineConfig := standin.SlotEngineConfig{ID: e.ID, Slots: f.c.Slots, Events: f.c.Events, Manifest: standin.TestManifest, OnStart: f.c.OnStart}
-	if hasWeights {
-		engineConfig.Weights = 1
-		engineConfig.Staged = make(map[int][]byte)
-		for number := range standin.TestChunkCount {
-			engineConfig.Staged[number] = standin.TestChunk(1, number)
-		}
-	}
-	e.SlotEngine = standin.NewSlotEngine(engineConfig)
-	f.Engines = append(f.Engines, e)
-	e.host = f.network.Host(f.failureDomain(index), f.failureDomain(index), 0)
-	var err error
-	if e.server, err = standin.Serve(ctx, e.host, e.address(), e.SlotEngine); err != nil {
-		return nil, errors.Wrap(err, "Fleet.AddEngine")
-	}
-	if err := e.StartAgent(ctx); err != nil {
-		return nil, err
-	}
-	e.PutUpstream()
-	return e, nil
-}
-
-func (e *Engine) address() netip.AddrPort {
-	return netip.AddrPortFrom(machineAddress(kindEngine, e.index), enginePort)
-}
-
-// PutUpstream writes the engine's current state to the platform's list.
-func (e *Engine) PutUpstream() {
-	e.f.Store.PutUpstream(e.listedUpstream())
-}
-
-// Drain marks the engine as draining in the platform's list.
-func (e *Engine) Drain() {
-	u := e.listedUpstream()
-	u.IsDraining = true
-	e.f.Store.PutUpstream(u)
-}
-
-func (e *Engine) listedUpstream() foxtailwharf.Upstream {
-	u := e.Upstream()
-	u.Service, u.Address, u.FailureDomain = Service, e.address(), e.f.failureDomain(e.index)
-	return u
-}
-
-// StartAgent starts the agent on the engine's machine.
-func (e *Engine) StartAgent(ctx context.Context) error {
-	s := e.f.settings(kindEngine, e.index, fmt.Sprintf("agent-%d", e.index))
-	s.Upstream, s.Service = e.address(), Service
-	e.agent = provisioner.New(provisioner.Config{
-		Settings: s, Slot: e.SlotEngine, Origin: e.f.Origin, Network: e.host, PacketListener: e.host, Clock: e.f.clock,
-		Log: zap.NewNop(), Seed: uint64(e.index) + 100,
-	})
-	ctx, e.cancel = context.WithCancel(ctx)
-	return errors.Wrap(e.agent.Start(ctx), "Engine.StartAgent")
-}
-
-// LosePower stops the engine, its machine and the agent, and discards all staged chunks. The engine
-// starts again after restartDelay, machine and agent with Restart.
-func (e *Engine) LosePower(restartDelay time.Duration) {
-	e.Crash(restartDelay, true)
-	e.host.Kill()
-	e.cancel()
-}
-
-// Restart starts the agent and serves the engine on a new machine, after LosePower.
-func (e *Engine) Restart(ctx context.Context) error {
-	e.server.Close()
-	e.host = e.f.network.Host(e.f.failureDomain(e.index), e.f.failureDomain(e.index), 0)
-	var err error
-	if e.server, err = standin.Serve(ctx, e.host, e.address(), e.SlotEngine); err != nil {
-		return errors.Wrap(err, "Engine.Restart")
-	}
-	return e.StartAgent(ctx)
-}
-
 // Stop stops all machines, without a graceful stop.
 func (f *Fleet) Stop() {
 	for _, e := range f.Entries {
@@ -351,76 +186,6 @@
 	return f.network.Host("callers", "callers", 0)
 }
 
-// Origin is an in-memory origin of weights for all agents.
-type Origin struct {
-	mu            sync.Mutex
-	chunks        map[string][]byte
-	sent          int64
-	manifestReads int // number of manifests that were read
-	isDown        bool
-}
-
-// ManifestReads returns how often a manifest was read.
-func (o *Origin) ManifestReads() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.manifestReads
-}
-
-// SetDown makes the origin fail, or work again.
-func (o *Origin) SetDown(isDown bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.isDown = isDown
-}
-
-// Sent returns the bytes of the chunks that were read.
-func (o *Origin) Sent() int64 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.sent
-}
-
-// SetAddress does nothing, since this origin has no address.
-func (o *Origin) SetAddress(netip.AddrPort) {}
-
-// Learn records the chunks of a release, which Chunk then finds by their digests.
-func (o *Origin) Learn(release foxtailwharf.Release, m foxtailwharf.Manifest) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for number, chunk := range m.Chunks {
-		o.chunks[chunk.Digest] = standin.TestChunk(release.Version, number)
-	}
-}
-
-// ReleaseManifest returns the manifest of a release. It fails while the origin is down.
-func (o *Origin) ReleaseManifest(_ context.Context, release foxtailwharf.Release) ([]byte, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.isDown {
-		return nil, errors.New("origin is down")
-	}
-	o.manifestReads++
-	return json.Marshal(standin.TestManifest(release.Version))
-}
-
-// Manifest fails always, since this origin knows manifests by version only.
-func (o *Origin) Manifest(context.Context, string) ([]byte, error) {
-	return nil, errors.New("origin knows manifests by version only")
-}
-
-// Chunk returns the data of a chunk of a release that Learn has recorded.
-func (o *Origin) Chunk(_ context.Context, digest string) (io.ReadCloser, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	data, isKnown := o.chunks[digest]
-	if o.isDown || !isKnown {
-		return nil, errors.New("origin is down or does not have the chunk")
-	}
-	o.sent += int64(len(data))
-	return io.NopCloser(bytes.NewReader(data)), nil
-}
-
 // NewRequest returns a caller's request to an entry. Its body is the ID of the call.
 func NewRequest(ctx context.Context, to netip.AddrPort, route, id, key string, promptTokens int) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+"/"+route+"/1", bytes.NewReader([]byte(id)))
