An upstream removed during an outage no longer stays listed through other entries

Change: answers between entries name the upstreams that are in a grace period, and their end comes where the list was taken as well; repeated answers do not extend it.

Test that failed first: TestRestartBesideLaggingPeers. TestExpiringAtPeer came with the change.

--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -156,6 +156,7 @@
 		HasList:      answer.HasList,
 		IsWhole:      answer.IsWhole,
 		Gone:         answer.Gone,
+		Expiring:     answer.Expiring,
 		Revisions: follower.Revisions{
 			Configuration: answer.ConfigurationRevision,
 			Upstreams:     answer.ListRevision,
@@ -245,6 +246,7 @@
 		return nil
 	}
 	answer.HasList, answer.IsWhole, answer.Gone, answer.Sequence = true, isWhole, changes.Gone, v.Sequence
+	answer.Expiring = d.follower.Expiring()
 	if len(changes.Upstreams) > 0 {
 		answer.Upstreams, err = pack(changes.Upstreams)
 	}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -287,7 +287,7 @@
 		f.view.Revisions.Configuration = max(f.view.Revisions.Configuration, s.Revisions.Configuration)
 	}
 	if s.HasList && (s.Revisions.Upstreams > f.view.Revisions.Upstreams || (s.IsFromSource && s.Revisions.Upstreams == f.view.Revisions.Upstreams)) {
-		f.applyUpstreams(foxtailwharf.FleetPage{Upstreams: s.Upstreams, Gone: s.Gone}, s.IsWhole)
+		f.mergeUpstreams(s)
 		f.view.Revisions.Upstreams = s.Revisions.Upstreams
 		f.base = s.Position
 	}
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -239,6 +239,28 @@
 	}
 }
 
+// TestExpiringAtPeer checks that an upstream in a grace period at another entry is removed here in the
+// same time, although that entry's removal is never heard of, and that repeated messages do not
+// extend the time.
+func TestExpiringAtPeer(t *testing.T) {
+	run(t, func(b *bench) {
+		b.store.SetUnavailable("a", true)
+		time.Sleep(100 * time.Millisecond)
+		v := b.follower.View()
+		other := follower.PeerState{HasList: true, IsWhole: true, Upstreams: []foxtailwharf.Upstream{{ID: "u1"}, {ID: "u2"}}, Expiring: []string{"u2"}, Revisions: v.Revisions}
+		for range 15 {
+			other.Revisions.Upstreams++
+			b.follower.Merge(other)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		b.follower.Merge(follower.PeerState{})
+		if have := b.ids(); len(have) != 1 || have[0] != "u1" {
+			t.Errorf("have %v 2.5 s after the upstream began to expire, want u1 alone", have)
+		}
+	})
+}
+
 // TestIsSame checks that views which differ only in their proof are the same, and that a change of
 // the list, the releases or the configuration tells views apart.
 func TestIsSame(t *testing.T) {
--- a/internal/process/follower/list.go
+++ b/internal/process/follower/list.go
@@ -1,6 +1,8 @@
 package follower
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -93,6 +95,31 @@
 	return p, false
 }
 
+// Expiring returns the IDs of the upstreams that are in a grace period.
+func (f *Follower) Expiring() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.graceUntil))
+}
+
+// mergeUpstreams merges another entry's list, or the changes of it. A grace period there is one
+// here too, so that the upstream does not stay listed if the other entry's removal of it is missed;
+// one that has begun here is not extended.
+func (f *Follower) mergeUpstreams(s PeerState) {
+	begun := maps.Clone(f.graceUntil)
+	f.applyUpstreams(foxtailwharf.FleetPage{Upstreams: s.Upstreams, Gone: s.Gone}, s.IsWhole)
+	for _, id := range s.Expiring {
+		if _, isListed := f.upstreams[id]; !isListed {
+			continue
+		}
+		until, hasBegun := begun[id]
+		if !hasBegun {
+			until = f.c.Clock() + gracePeriod
+		}
+		f.graceUntil[id] = until
+	}
+}
+
 // expireGrace deletes the upstreams whose grace period is over.
 func (f *Follower) expireGrace(now time.Duration) {
 	for id, until := range f.graceUntil {
--- a/internal/process/follower/view.go
+++ b/internal/process/follower/view.go
@@ -80,6 +80,8 @@
 	IsWhole   bool
 	Upstreams []foxtailwharf.Upstream
 	Gone      []string
+	// Expiring holds the listed upstreams that are in a grace period at the other entry.
+	Expiring  []string
 	Releases  []foxtailwharf.Release
 	Revisions Revisions
 	// Position is the other entry's position after these changes.
--- a/standin/simulator/entry.go
+++ b/standin/simulator/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -54,6 +55,11 @@
 	return e.isKilled
 }
 
+// IsListed reports whether the entry lists an upstream.
+func (e *Entry) IsListed(id string) bool {
+	return slices.ContainsFunc(e.process.View().Upstreams, func(u foxtailwharf.Upstream) bool { return u.ID == id })
+}
+
 // IsDraining reports whether the entry knows that an upstream is draining.
 func (e *Entry) IsDraining(id string) bool {
 	for _, u := range e.process.View().Upstreams {
--- a/standin/simulator/simulator_test.go
+++ b/standin/simulator/simulator_test.go
@@ -398,3 +398,44 @@
 		}
 	})
 }
+
+// TestRestartBesideLaggingPeers guards against a restarted entry that takes a revoked key or a removed
+// upstream from peers that have lost the store. Once one peer has the store again, the restarted
+// entry serves with what is in force.
+func TestRestartBesideLaggingPeers(t *testing.T) {
+	t.Parallel()
+	run(t, simulator.Config{Entries: 6, Engines: 6, Slots: 8, Events: 3}, 0, func(h *harness) {
+		h.Store.PutConfiguration(h.Configuration(2, simulator.Key, "k2"))
+		time.Sleep(time.Second)
+		for _, e := range h.Entries {
+			h.Store.SetUnavailable(e.Name, true)
+		}
+		time.Sleep(time.Second)
+		removed := h.Engines[0].ID
+		h.Store.RemoveUpstream(removed)
+		h.Store.PutConfiguration(h.Configuration(3, simulator.Key))
+		time.Sleep(keyBound)
+		restarted := h.Entries[1]
+		restarted.Kill()
+		if err := restarted.Start(h.t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			if r := h.call(restarted, "chat", "k2", 100); r.isWhole {
+				t.Fatal("a call with a revoked key was served after the restart")
+			}
+		}
+		h.Store.SetUnavailable(h.Entries[4].Name, false)
+		time.Sleep(4 * time.Second)
+		if r := h.call(restarted, "chat", simulator.Key, 100); !r.isWhole {
+			t.Errorf("status %d with one peer that has the store, want a whole response", r.status)
+		}
+		if r := h.call(restarted, "chat", "k2", 100); r.isWhole {
+			t.Error("a call with a revoked key was served")
+		}
+		if restarted.IsListed(removed) {
+			t.Error("the removed upstream is listed at the restarted entry")
+		}
+	})
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -237,6 +237,10 @@
 	// of the store, up to which no newer configuration is known
 	ConfigurationRevision uint64 `json:"ConfigurationRevision,omitempty,omitzero"`
 
+	// listed upstreams that expired during an outage of the store and have a short
+	// time to return
+	Expiring []string `json:"Expiring,omitempty,omitzero"`
+
 	// upstreams that are gone
 	Gone []string `json:"Gone,omitempty,omitzero"`
 
