Of several upstreams listed at one address, only the youngest is used

Load it answers: the seconds after all engines of a site were restarted. An agent's reports were taken for whichever came last in the list. So in half of the cases the ended process seemed to hold weights and got calls, which the new one refused (507 refusals with status 421 from 42 to 45.4 s), and the new one seemed to hold none until the list said otherwise; 343 calls were refused for want of an upstream.

Ruled out: slow loading (all engines hold their weights 1.7 s before calls are served). Test that failed first: TestRestartedUpstream (both orders of the two IDs).

--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -130,9 +130,11 @@
 }
 
 // Set replaces the list of upstreams. The state of those that remain is kept; an upstream that
-// has been restarted or has another address starts without state.
+// has been restarted or has another address starts without state. Where several are listed at one
+// address, the older ones have ended: only their entries have not expired yet.
 func (b *Balancer) Set(list []foxtailwharf.Upstream) {
 	byID := make(map[string]*upstream, len(list))
+	byAddress := make(map[netip.AddrPort]*upstream, len(list))
 	b.byService = make(map[string][]*upstream)
 	b.byMachine = make(map[netip.Addr]*upstream, len(list))
 	for _, listed := range list {
@@ -142,13 +144,32 @@
 		}
 		u.Upstream = listed
 		u.isReporting = b.reporting == nil || b.reporting[listed.ID]
+		u.isReplaced = false
 		byID[listed.ID] = u
 		b.byService[listed.Service] = append(b.byService[listed.Service], u)
-		b.byMachine[listed.Address.Addr()] = u
+		byAddress[listed.Address] = younger(byAddress[listed.Address], u)
+		if known := b.byMachine[listed.Address.Addr()]; known == nil || !u.Born.Before(known.Born) {
+			b.byMachine[listed.Address.Addr()] = u
+		}
 	}
 	b.byID = byID
 }
 
+// younger returns the one of two upstreams at an address that started later, and marks the other
+// one as replaced. Of two that started at the same time it returns the second.
+func younger(first, second *upstream) *upstream {
+	switch {
+	case first == nil || first.Born.Equal(second.Born):
+		return second
+	case first.Born.After(second.Born):
+		second.isReplaced = true
+		return first
+	default:
+		first.isReplaced = true
+		return second
+	}
+}
+
 // Report updates the load of the upstream on a machine from its agent's report.
 func (b *Balancer) Report(now time.Time, machine netip.Addr, load foxtailwharf.UpstreamLoad) {
 	u := b.byMachine[machine]
@@ -230,10 +251,13 @@
 	return u != nil && u.load.IsLoading && u.reportAge(now) < stateLifetime
 }
 
-// IsLost reports whether a recent report says that the upstream is down, or was restarted after
-// born. It is false for upstreams that are not listed.
+// IsLost reports whether a younger upstream is listed at the upstream's address, or a recent report
+// says that it is down or was restarted after born. It is false for upstreams that are not listed.
 func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
 	u := b.byID[id]
+	if u != nil && u.isReplaced {
+		return true
+	}
 	if u == nil || u.reportAge(now) > loadLifetime {
 		return false
 	}
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -252,3 +252,29 @@
 		t.Errorf("have %s: it should be tried again after the ejection", u.ID)
 	}
 }
+
+// TestRestartedUpstream checks a machine whose upstream has just been restarted with another ID, while
+// the list still has the entry of the earlier process: the agent's reports are about the younger
+// one, and the earlier one gets no calls.
+func TestRestartedUpstream(t *testing.T) {
+	earlier, younger := listed(1, "near", 2), listed(1, "near", 0)
+	younger.Born = start.Add(time.Second)
+	for _, ids := range [][2]string{{"a", "b"}, {"b", "a"}} {
+		earlier.ID, younger.ID = ids[0], ids[1]
+		list := []foxtailwharf.Upstream{earlier, younger}
+		if earlier.ID > younger.ID {
+			list = []foxtailwharf.Upstream{younger, earlier}
+		}
+		b := newBalancer(list...)
+		if u, isFound, _ := b.Pick(start, model); isFound {
+			t.Errorf("call given to %s before the younger upstream holds weights", u.ID)
+		}
+		b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 2, Born: younger.Born})
+		if u, isFound, _ := b.Pick(start, model); !isFound || u.ID != younger.ID {
+			t.Errorf("have %q, want the younger upstream %q", u.ID, younger.ID)
+		}
+		if !b.IsLost(start, earlier.ID, earlier.Born) {
+			t.Error("the earlier upstream is not known to be lost")
+		}
+	}
+}
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -196,7 +196,7 @@
 
 // isEligible reports whether the upstream may get the call at all, regardless of its load.
 func (p *picker) isEligible(u *upstream, age time.Duration) bool {
-	if u.IsDraining || p.req.Exclude[u.ID] {
+	if u.IsDraining || u.isReplaced || p.req.Exclude[u.ID] {
 		return false
 	}
 	if p.req.NeedsWeights && !p.hasAllowedWeights(u, age) {
--- a/internal/request/balancer/upstream.go
+++ b/internal/request/balancer/upstream.go
@@ -36,6 +36,7 @@
 	foxtailwharf.Upstream
 	ownInFlight       int  // calls of this entry
 	isReporting       bool // its agent reports to this entry
+	isReplaced        bool // a younger upstream is listed at its address
 	load              foxtailwharf.UpstreamLoad
 	reportedAt        time.Time // zero before the first report
 	othersInFlight    float64   // calls of other entries at the last report
