The check of an attempt's upstream starts after its timer is known

A process that is held up for 0.1 s in between reads a nil timer. Change: the timer starts once the field is set.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -118,7 +118,9 @@
 		limit = time.Hour
 	}
 	a.stallTimer = time.AfterFunc(limit, func() { a.cancel(errStalled) })
-	a.checkTimer = time.AfterFunc(upstreamCheckInterval, a.checkUpstream)
+	// The timer is started only once the field that checkUpstream uses is set.
+	a.checkTimer = time.AfterFunc(time.Hour, a.checkUpstream)
+	a.checkTimer.Reset(upstreamCheckInterval)
 }
 
 func (a *attempt) stopWatchdog() {
