What another entry keeps for a grace period is not taken up here

Change: an upstream in a grace period elsewhere is not added to a list that does not have it; its time ends at the latest when it ends there; another entry's removal counts at once.

Tests that failed first in a trial: TestExpiringAtPeer (u3 was listed), TestGoneAtPeer (u1 stayed).

--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -157,6 +157,7 @@
 		IsWhole:      answer.IsWhole,
 		Gone:         answer.Gone,
 		Expiring:     answer.Expiring,
+		ExpiringFor:  time.Duration(answer.ExpiringMillis) * time.Millisecond,
 		Revisions: follower.Revisions{
 			Configuration: answer.ConfigurationRevision,
 			Upstreams:     answer.ListRevision,
@@ -246,7 +247,8 @@
 		return nil
 	}
 	answer.HasList, answer.IsWhole, answer.Gone, answer.Sequence = true, isWhole, changes.Gone, v.Sequence
-	answer.Expiring = d.follower.Expiring()
+	expiring, left := d.follower.Expiring()
+	answer.Expiring, answer.ExpiringMillis = expiring, ceilMillis(left)
 	if len(changes.Upstreams) > 0 {
 		answer.Upstreams, err = pack(changes.Upstreams)
 	}
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -239,24 +239,50 @@
 	}
 }
 
-// TestExpiringAtPeer checks that an upstream in a grace period at another entry is removed here in the
-// same time, although that entry's removal is never heard of, and that repeated messages do not
-// extend the time.
+// TestExpiringAtPeer checks upstreams in a grace period at another entry: one that is not listed here
+// is not added, one that is listed here is removed when its time ends there, although that entry's
+// removal is never heard of, and repeated messages do not extend the time.
 func TestExpiringAtPeer(t *testing.T) {
 	run(t, func(b *bench) {
+		b.store.PutUpstream(foxtailwharf.Upstream{ID: "u1"})
+		b.store.PutUpstream(foxtailwharf.Upstream{ID: "u2"})
+		time.Sleep(time.Second)
 		b.store.SetUnavailable("a", true)
 		time.Sleep(100 * time.Millisecond)
-		v := b.follower.View()
-		other := follower.PeerState{HasList: true, IsWhole: true, Upstreams: []foxtailwharf.Upstream{{ID: "u1"}, {ID: "u2"}}, Expiring: []string{"u2"}, Revisions: v.Revisions}
-		for range 15 {
+		other := follower.PeerState{
+			HasList: true, IsWhole: true, Upstreams: []foxtailwharf.Upstream{{ID: "u1"}, {ID: "u2"}, {ID: "u3"}}, Expiring: []string{"u2", "u3"},
+			ExpiringFor: time.Second, Revisions: b.follower.View().Revisions,
+		}
+		for range 5 {
 			other.Revisions.Upstreams++
 			b.follower.Merge(other)
+			if have := b.ids(); len(have) != 2 {
+				t.Fatalf("have %v, want u1 and u2", have)
+			}
 			time.Sleep(100 * time.Millisecond)
 		}
-		time.Sleep(time.Second)
+		time.Sleep(600 * time.Millisecond)
 		b.follower.Merge(follower.PeerState{})
 		if have := b.ids(); len(have) != 1 || have[0] != "u1" {
-			t.Errorf("have %v 2.5 s after the upstream began to expire, want u1 alone", have)
+			t.Errorf("have %v 1.1 s after the upstream began to expire, want u1 alone", have)
+		}
+	})
+}
+
+// TestGoneAtPeer checks that an upstream in a grace period is removed as soon as another entry has
+// removed it.
+func TestGoneAtPeer(t *testing.T) {
+	run(t, func(b *bench) {
+		b.store.PutUpstream(foxtailwharf.Upstream{ID: "u1"})
+		time.Sleep(time.Second)
+		state := follower.PeerState{HasList: true, Expiring: []string{"u1"}, ExpiringFor: 2 * time.Second, Revisions: b.follower.View().Revisions}
+		state.Revisions.Upstreams++
+		b.follower.Merge(state)
+		state.Revisions.Upstreams++
+		state.Expiring, state.Gone = nil, []string{"u1"}
+		b.follower.Merge(state)
+		if have := b.ids(); len(have) != 0 {
+			t.Errorf("have %v, want none", have)
 		}
 	})
 }
--- a/internal/process/follower/list.go
+++ b/internal/process/follower/list.go
@@ -95,28 +95,43 @@
 	return p, false
 }
 
-// Expiring returns the IDs of the upstreams that are in a grace period.
-func (f *Follower) Expiring() []string {
+// Expiring returns the IDs of the upstreams that are in a grace period, and the longest time that one
+// of them still has.
+func (f *Follower) Expiring() (ids []string, left time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Sorted(maps.Keys(f.graceUntil))
+	now := f.c.Clock()
+	for _, until := range f.graceUntil {
+		left = max(left, until-now)
+	}
+	return slices.Sorted(maps.Keys(f.graceUntil)), left
 }
 
-// mergeUpstreams merges another entry's list, or the changes of it. A grace period there is one
-// here too, so that the upstream does not stay listed if the other entry's removal of it is missed;
-// one that has begun here is not extended.
+// mergeUpstreams merges another entry's list, or the changes of it. The store no longer lists what is
+// in a grace period there: it is not added here, and if it is listed here, its time ends at the
+// latest when it ends there. What the other entry has removed gets no time of its own.
 func (f *Follower) mergeUpstreams(s PeerState) {
 	begun := maps.Clone(f.graceUntil)
-	f.applyUpstreams(foxtailwharf.FleetPage{Upstreams: s.Upstreams, Gone: s.Gone}, s.IsWhole)
+	added := slices.DeleteFunc(slices.Clone(s.Upstreams), func(u foxtailwharf.Upstream) bool {
+		_, isListed := f.upstreams[u.ID]
+		return !isListed && slices.Contains(s.Expiring, u.ID)
+	})
+	for _, id := range s.Gone {
+		if _, isListed := f.upstreams[id]; isListed {
+			f.c.Log.Info("store: upstream removed by another entry", zap.String("Upstream", id))
+			f.deleteUpstream(id)
+		}
+	}
+	f.applyUpstreams(foxtailwharf.FleetPage{Upstreams: added}, s.IsWhole)
+	until := f.c.Clock() + min(s.ExpiringFor, gracePeriod)
 	for _, id := range s.Expiring {
 		if _, isListed := f.upstreams[id]; !isListed {
 			continue
 		}
-		until, hasBegun := begun[id]
-		if !hasBegun {
-			until = f.c.Clock() + gracePeriod
-		}
 		f.graceUntil[id] = until
+		if own, hasBegun := begun[id]; hasBegun {
+			f.graceUntil[id] = min(own, until)
+		}
 	}
 }
 
--- a/internal/process/follower/view.go
+++ b/internal/process/follower/view.go
@@ -80,10 +80,12 @@
 	IsWhole   bool
 	Upstreams []foxtailwharf.Upstream
 	Gone      []string
-	// Expiring holds the listed upstreams that are in a grace period at the other entry.
-	Expiring  []string
-	Releases  []foxtailwharf.Release
-	Revisions Revisions
+	// Expiring holds the listed upstreams that are in a grace period at the other entry, which ends
+	// after ExpiringFor at the latest.
+	Expiring    []string
+	ExpiringFor time.Duration
+	Releases    []foxtailwharf.Release
+	Revisions   Revisions
 	// Position is the other entry's position after these changes.
 	Position Position
 	// IsFromSource is set if the state replaces a read of the store. Its list then counts even
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -241,6 +241,9 @@
 	// time to return
 	Expiring []string `json:"Expiring,omitempty,omitzero"`
 
+	// the longest time that these upstreams still have
+	ExpiringMillis int64 `json:"ExpiringMillis,omitempty,omitzero"`
+
 	// upstreams that are gone
 	Gone []string `json:"Gone,omitempty,omitzero"`
 
