--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -36,16 +36,18 @@
 // reporter polls the engine's state and reports it to the entries. Its fields, other than done and
 // wake, belong to the goroutine of run.
 type reporter struct {
-	p             *Provisioner
-	done          chan struct{}
-	wake          chan struct{} // capacity 1
-	state         foxtailwharf.EngineState
-	isDown        bool
-	sent          wire.FleetReport
-	nearSentAt    time.Time // last report to entries of the same failure domain
-	farSentAt     time.Time // last report to all entries
-	entriesSentAt time.Time // last list of the entries to entries of the same failure domain
-	listSentAt    time.Time // last list of the entries to all entries
+	p          *Provisioner
+	done       chan struct{}
+	wake       chan struct{} // capacity 1
+	state      foxtailwharf.EngineState
+	isDown     bool
+	sent       wire.FleetReport
+	nearSentAt time.Time // last report to entries of the same failure domain
+	farSentAt  time.Time // last report to all entries
+	// nearListedAt and farListedAt are when the list of the entries was last sent to entries of the
+	// same failure domain and of others.
+	nearListedAt time.Time
+	farListedAt  time.Time
 }
 
 // run polls and reports until the context ends.
@@ -122,28 +124,28 @@
 		return
 	}
 	r.sent, r.nearSentAt = report, now
-	short := withoutLists(report)
+	short := shortened(report)
 	if !isFar {
 		r.p.notifier.Send(short, near...)
 		return
 	}
 	r.farSentAt = now
-	if now.Sub(r.entriesSentAt) >= entriesInterval {
-		r.entriesSentAt = now
+	if now.Sub(r.nearListedAt) >= entriesInterval {
+		r.nearListedAt = now
 		r.p.notifier.Send(report, near...)
 	} else {
 		r.p.notifier.Send(short, near...)
 	}
-	if now.Sub(r.listSentAt) >= farEntriesInterval {
-		r.listSentAt = now
+	if now.Sub(r.farListedAt) >= farEntriesInterval {
+		r.farListedAt = now
 		r.p.notifier.Send(report, far...)
 	} else {
 		r.p.notifier.Send(short, far...)
 	}
 }
 
-// withoutLists returns the report without what rarely changes.
-func withoutLists(report wire.FleetReport) wire.FleetReport {
+// shortened returns the report without the entries and the release, which rarely change.
+func shortened(report wire.FleetReport) wire.FleetReport {
 	report.Entries, report.Model, report.Release, report.ReleaseAgeMillis = nil, "", 0, 0
 	return report
 }
