Wording of comments and test names; a compressor's error is no longer dropped

Cause: a second reading as a newcomer. The pool of compressors ignored the error of a new one; it is returned now. Two comments read oddly, one gave a rate of calls as the reason for a number, and the overload test called its callers visitors.

--- a/internal/process/distributor/packer.go
+++ b/internal/process/distributor/packer.go
@@ -18,11 +18,16 @@
 const maxPackedBytes = 16 << 20
 
 // compressors keeps compressors for reuse, since each takes several hundred kilobytes.
-var compressors = sync.Pool{New: func() any {
-	// The error is only for an invalid level.
-	compressor, _ := flate.NewWriter(io.Discard, flate.BestSpeed)
-	return compressor
-}}
+var compressors sync.Pool
+
+// newCompressor returns a compressor that writes to w, a used one if there is one.
+func newCompressor(w io.Writer) (*flate.Writer, error) {
+	if used, isCompressor := compressors.Get().(*flate.Writer); isCompressor {
+		used.Reset(w)
+		return used, nil
+	}
+	return flate.NewWriter(w, flate.BestSpeed)
+}
 
 // packedDocument is a configuration as compressed JSON.
 type packedDocument struct {
@@ -51,12 +56,11 @@
 func pack(document any) (string, error) {
 	var text strings.Builder
 	encoder := base64.NewEncoder(base64.StdEncoding, &text)
-	compressor, isCompressor := compressors.Get().(*flate.Writer)
-	if !isCompressor {
-		return "", errors.New("distributor.pack: no compressor")
+	compressor, err := newCompressor(encoder)
+	if err != nil {
+		return "", errors.Wrap(err, "distributor.pack")
 	}
 	defer compressors.Put(compressor)
-	compressor.Reset(encoder)
 	if err := json.NewEncoder(compressor).Encode(document); err != nil {
 		return "", errors.Wrap(err, "distributor.pack")
 	}
--- a/internal/process/subsetter/subsetter.go
+++ b/internal/process/subsetter/subsetter.go
@@ -15,8 +15,8 @@
 // Sizes of the subset.
 const (
 	// minLocal and maxLocal bound the agents of the own failure domain, of which an entry chooses
-	// one in localFraction. It sends them its share of the domain's calls, about twenty a second,
-	// and finds free slots among this many. The fewer entries share an engine, the larger is each
+	// one in localFraction. It sends them its share of the domain's calls and has to find free slots
+	// among this many. The fewer entries share an engine, the larger is each
 	// one's share of its free slots; but each agent needs an entry.
 	minLocal      = 16
 	maxLocal      = 48
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -13,8 +13,9 @@
 const (
 	// loadBound is the largest load of a preferred upstream relative to the mean load.
 	loadBound = 1.25
-	// minLoadBound is the number of requests up to which a preferred upstream is taken whatever
-	// the mean load: bounding single requests would scatter prefixes without a benefit.
+	// minLoadBound is the number of requests up to which an upstream that has the prefix is taken
+	// regardless of the mean load. While the load is this low, sending the request elsewhere gains
+	// nothing and loses the cached prefix.
 	minLoadBound = 2
 	// loadTTL is how long a reported load counts. Its weight falls linearly to zero.
 	loadTTL = 3 * time.Second
--- a/internal/version/selector/selector.go
+++ b/internal/version/selector/selector.go
@@ -287,9 +287,9 @@
 	return !s.originFailedAt.IsZero() && now.Sub(s.originFailedAt) < originFailureTTL
 }
 
-// noteMissing records that a source lacks a chunk. A primary owner of another region is asked
-// again: it answered, so most likely the origin is down, and if it were passed over all regions
-// would fetch the chunk from the origin at once when that returns.
+// noteMissing records that a source lacks a chunk. A primary owner of another region is asked again a
+// few times. It has answered, so it probably lacks the chunk because the origin is down. Without
+// the repeats each region would go to the origin by itself, all at the moment when it returns.
 func (s *Selector) noteMissing(f Fetch) {
 	if f.IsLongPoll && f.From == s.primaryOwners[f.Chunk] && s.primaryRegion(f.Chunk) != s.c.Self.Region {
 		s.primaryMisses[f.Chunk]++
--- a/standin/simulator/overload_test.go
+++ b/standin/simulator/overload_test.go
@@ -9,25 +9,25 @@
 	"github.com/foxtailwharf/foxtailwharf/standin/simulator"
 )
 
-// visitor is a caller that sends one request, and once more if it is refused and told when to come
-// back.
-type visitor struct {
+// callerResult is what a caller got that sends one request, and once more if it is refused and told
+// when to come back.
+type callerResult struct {
 	route    string
 	isServed bool
 	first    time.Duration   // from the first request to the first event
 	waits    []time.Duration // from each refused request to its refusal
 }
 
-// patience is how long a visitor waits for its answer, over all its requests.
-const patience = 6 * time.Second
+// callerTimeout is how long a caller waits for its answer, over all its requests.
+const callerTimeout = 6 * time.Second
 
-// visit plays one visitor.
-func (h *harness) visit(entries []*simulator.Entry, route string, promptTokens int) visitor {
-	v := visitor{route: route}
+// callTwice plays one such caller.
+func (h *harness) callTwice(entries []*simulator.Entry, route string, promptTokens int) callerResult {
+	v := callerResult{route: route}
 	begin := time.Now()
 	for _, entry := range entries {
 		sent := time.Now()
-		left := patience - sent.Sub(begin)
+		left := callerTimeout - sent.Sub(begin)
 		r := h.callWithin(entry, route, simulator.Key, promptTokens, left)
 		if r.isWhole {
 			v.isServed, v.first = true, sent.Sub(begin)+r.first
@@ -45,26 +45,26 @@
 	return v
 }
 
-// visitors sends visitors of a route as a Poisson process of a rate. The channel is closed after the
+// returningCallers sends such callers of a route as a Poisson process of a rate. The channel is closed after the
 // last one.
-func (h *harness) visitors(route string, perSecond float64, length time.Duration, promptTokens int) <-chan visitor {
+func (h *harness) returningCallers(route string, perSecond float64, length time.Duration, promptTokens int) <-chan callerResult {
 	random := rand.New(rand.NewPCG(uint64(len(route)), uint64(perSecond)))
-	all := make(chan visitor, 2*int(perSecond*length.Seconds())+100)
+	all := make(chan callerResult, 2*int(perSecond*length.Seconds())+100)
 	h.callers.Go(func() {
-		defer func() { all <- visitor{} }()
+		defer func() { all <- callerResult{} }()
 		for end := time.Now().Add(length); time.Now().Before(end); {
 			time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
 			entries := []*simulator.Entry{h.Entries[random.IntN(len(h.Entries))], h.Entries[random.IntN(len(h.Entries))]}
-			h.callers.Go(func() { all <- h.visit(entries, route, promptTokens) })
+			h.callers.Go(func() { all <- h.callTwice(entries, route, promptTokens) })
 		}
 	})
 	return all
 }
 
-// overloadResult is what the visitors of a route got.
+// overloadResult is what the callers of a route got.
 type overloadResult struct {
-	visitors, onTime, late int
-	heldAndRefused         int // requests that were refused after a long wait
+	callers, onTime, late int
+	heldAndRefused        int // requests that were refused after a long wait
 }
 
 // TestLongOverload plays 1.6 times the capacity of a failure domain for ten seconds. What the
@@ -79,19 +79,19 @@
 	run(t, simulator.Config{Entries: 30, Engines: engines, Slots: slots, Events: events, Domains: 1}, 0, func(h *harness) {
 		const callTime = 1.15
 		rate := load * engines * slots / callTime / 3
-		routes := map[string]<-chan visitor{}
+		routes := map[string]<-chan callerResult{}
 		for route, tokens := range map[string]int{"chat": 607, "answer": 787, "summary": 1290} {
-			routes[route] = h.visitors(route, rate, length, tokens)
+			routes[route] = h.returningCallers(route, rate, length, tokens)
 		}
 		time.Sleep(length)
 		h.callers.Wait()
 		served, total, score, lastServed := 0, 0, 0.0, 1.0
 		for _, route := range []string{"chat", "answer", "summary"} {
 			r := summarize(routes[route], heldTime)
-			t.Logf("%s: %d visitors, %.3f on time, %.3f late; %d refused after %s or more", route, r.visitors,
+			t.Logf("%s: %d callers, %.3f on time, %.3f late; %d refused after %s or more", route, r.callers,
 				r.share(r.onTime), r.share(r.late), r.heldAndRefused, heldTime)
 			served += r.onTime + r.late
-			total += r.visitors
+			total += r.callers
 			score += float64(r.onTime) + lateScore*float64(r.late)
 			if have := r.share(r.onTime + r.late); have > lastServed+0.02 {
 				t.Errorf("%s: %.3f are served, more than of the rank above (%.3f)", route, have, lastServed)
@@ -100,24 +100,24 @@
 		}
 		t.Logf("score %.3f", score/float64(total))
 		if have := float64(served) / float64(total); have < 1/load {
-			t.Errorf("%.3f of all visitors are served, want at least %.3f, what the engines can run", have, 1/load)
+			t.Errorf("%.3f of all callers are served, want at least %.3f, what the engines can run", have, 1/load)
 		}
 	})
 }
 
-// share returns a number of visitors as a fraction of all.
+// share returns a number of callers as a fraction of all.
 func (r overloadResult) share(count int) float64 {
-	return float64(count) / float64(r.visitors)
+	return float64(count) / float64(r.callers)
 }
 
-// summarize counts what the visitors of a route got. A wait of heldTime before a refusal is long.
-func summarize(all <-chan visitor, heldTime time.Duration) (r overloadResult) {
+// summarize counts what the callers of a route got. A wait of heldTime before a refusal is long.
+func summarize(all <-chan callerResult, heldTime time.Duration) (r overloadResult) {
 	for len(all) > 0 {
 		v := <-all
 		if v.route == "" {
 			continue
 		}
-		r.visitors++
+		r.callers++
 		switch {
 		case v.isServed && v.first <= 600*time.Millisecond:
 			r.onTime++
