A caller that sends or reads too slowly no longer holds a call for good

Load it answers: callers on bad links, and callers that do it on purpose. Cause, found by reading the change for waits without a limit: the body of a request was read without a deadline (only its head had one), and writes to a caller had none, so that a caller which does not read held the call and its answer in memory for as long as its connection was open.

Change: the body has to arrive within the call's deadline and is refused as not run otherwise; each write to the caller may take 30 s, as for entries with agents. Ready answers are still delivered late to a caller that reads. Ruled out: the server's own timeouts (its header timeout ends with the head).

--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -3,9 +3,11 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/matcher"
@@ -85,20 +87,31 @@
 // defaultBodyBytes bounds a request body if the configuration does not.
 const defaultBodyBytes = 8 << 20
 
-// readBody buffers the whole body, so that the call can be sent again to a second upstream.
+// readBody buffers the whole body, so that the call can be sent again to a second upstream. It has to
+// arrive within the deadline of the call.
 func (x *exchange) readBody(w http.ResponseWriter, r *http.Request, limits foxtailwharf.CallLimits) *foxtailwharf.Refusal {
 	limit := limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(x.deadline); err != nil {
+		x.f.c.Log.Debug("call: connection of the caller has no read deadline", zap.Error(err))
+	}
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return foxtailwharf.NotRun(foxtailwharf.ReasonDeadline, "the request body did not arrive in time")
+		}
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
 			return foxtailwharf.NotRun(foxtailwharf.ReasonBodyTooLarge, err.Error())
 		}
 		return foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, "the request body is incomplete")
 	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		x.f.c.Log.Debug("call: connection of the caller has no read deadline", zap.Error(err))
+	}
 	x.call.Body = data
 	x.digest = foxtailwharf.Digest([]byte(x.service.Name + "\n" + x.account + "\n" + x.call.Method + "\n" + x.call.Target + "\n" + string(data)))
 	if remaining := x.f.quarantinedFor(x.digest); remaining > 0 {
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -24,6 +24,8 @@
 	// firstEventOverhead is the time from the start of a call at an upstream to its first event,
 	// not counting the reading of the prompt.
 	firstEventOverhead = 90 * time.Millisecond
+	// callerWriteTimeout is how long a caller may take to read what is written to it at once.
+	callerWriteTimeout = 30 * time.Second
 	// maxQueueFraction is the fraction of the time until its deadline for which a call may wait
 	// for an engine with capacity. Calls to plain services may wait until the deadline.
 	maxQueueFraction = 0.45
@@ -257,6 +259,7 @@
 	x.log("refused", zap.String("Reason", string(refusal.Reason)), zap.Bool("NotRun", refusal.IsNotRun),
 		zap.Duration("RetryAfter", refusal.RetryAfter))
 	x.f.c.Meter.Increment(meter.CounterRefused + string(refusal.Reason))
+	x.boundWrite()
 	refuser.WriteDirect(x.w, refusal)
 }
 
@@ -278,7 +281,16 @@
 	return o
 }
 
+// boundWrite gives the next write to the caller callerWriteTimeout. A caller that does not read would
+// hold the call, and what it has in memory, for as long as its connection is open.
+func (x *exchange) boundWrite() {
+	if err := http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
+		x.f.c.Log.Debug("call: connection of the caller has no write deadline", zap.Error(err))
+	}
+}
+
 func (x *exchange) writeBuffered(answer *bufferedAnswer) {
+	x.boundWrite()
 	copyHeader(x.w.Header(), answer.header)
 	x.w.WriteHeader(answer.status)
 	if _, err := x.w.Write(answer.body); err != nil {
@@ -299,6 +311,7 @@
 
 // writeEvent writes an event of a stream and flushes it.
 func (x *exchange) writeEvent(data []byte) error {
+	x.boundWrite()
 	if _, err := x.w.Write(data); err != nil {
 		return errors.Wrap(err, "exchange.writeEvent")
 	}
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -173,6 +173,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{f: f, w: w, started: started, excluded: make(map[string]bool)}
+	x.boundWrite()
 	if refusal := f.admit(x, w, r); refusal != nil {
 		x.refuse(refusal)
 		return
