--- a/internal/request/forwarder/slowcaller_test.go
+++ b/internal/request/forwarder/slowcaller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,7 +41,6 @@
 // TestSlowCallers checks that a call ends although its caller sends its body a byte at a time, or does
 // not read its answer, and that nothing of it stays behind at the entry.
 func TestSlowCallers(t *testing.T) {
-	const bound = 60 * time.Second // the route's timeout, and the time that a write may take
 	tests := []struct {
 		name, path string
 		bodyBytes  int
@@ -54,35 +54,32 @@
 			run(t, func(b *bench) {
 				h := &endedHandler{b: b, ended: make(chan time.Time, 1)}
 				b.serve(address(9), h)
-				b.upstream(2, func(w http.ResponseWriter, _ *http.Request) {
-					data := make([]byte, 4<<20)
-					for n := range data {
-						data[n] = 'x'
-						if n%1000 == 999 {
-							data[n] = '\n'
-						}
-						if n%4000 == 3999 {
-							data[n-1] = '\n'
-						}
-					}
-					_, _ = w.Write(data)
-				})
-				conn, err := b.network.Dial(b.t.Context(), address(9))
-				if err != nil {
-					t.Fatal(err)
-				}
-				ctx, cancel := context.WithCancel(context.Background())
-				_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%s: slow\r\n%s: k1\r\nContent-Length: %d\r\n\r\nx", tt.path, standin.HeaderCall, standin.HeaderKey, tt.bodyBytes)
-				go (&slowBody{conn: conn, ctx: ctx}).run()
-				select {
-				case <-h.ended:
-				case <-time.After(bound):
-					t.Errorf("the call has not ended after %s", bound)
-				}
-				cancel()
-				_ = conn.Close()
-				time.Sleep(time.Second)
+				b.upstream(2, text(http.StatusOK, strings.Repeat(strings.Repeat("x", 999)+"\n\n", 4<<10)))
+				b.checkSlowCaller(h, tt.path, tt.bodyBytes)
 			})
 		})
 	}
 }
+
+// slowCallBound is the route's timeout and the time that a write may take, with room to spare.
+const slowCallBound = 60 * time.Second
+
+// checkSlowCaller checks that the call of a caller who sends a byte now and then and reads nothing ends.
+func (b *bench) checkSlowCaller(h *endedHandler, path string, bodyBytes int) {
+	conn, err := b.network.Dial(b.t.Context(), address(9))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(b.t.Context())
+	defer cancel()
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%s: slow\r\n%s: k1\r\nContent-Length: %d\r\n\r\nx", path, standin.HeaderCall, standin.HeaderKey, bodyBytes)
+	go (&slowBody{conn: conn, ctx: ctx}).run()
+	select {
+	case <-h.ended:
+	case <-time.After(slowCallBound):
+		b.t.Errorf("the call has not ended after %s", slowCallBound)
+	}
+	cancel()
+	_ = conn.Close()
+	time.Sleep(time.Second)
+}
