Bound messages between own processes, and share the bound on heads

Load it answers: a peer address that now belongs to something else, or a peer gone wrong, which sends bytes without end. Cause: the codec of the RPC library trusts the length that a message states, and the client read the head of an upgrade to its end. Change: 16 MiB for a message; the bound on heads moves from the requester to package headlimiter, which both clients use, instead of standing twice. Ruled out: the server's side of the head, which net/http bounds.

--- a/internal/connection/messenger/messenger.go
+++ b/internal/connection/messenger/messenger.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"log"
@@ -19,6 +20,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/headlimiter"
 )
 
 const (
@@ -27,8 +29,27 @@
 	protocol = "jsonrpc2"
 	// callTimeout limits calls whose context has no earlier deadline.
 	callTimeout = 2 * time.Second
+	// maxMessageBytes bounds one message. The largest holds a compressed configuration.
+	maxMessageBytes = 16 << 20
 )
 
+// boundedCodec is the codec of the library with a bound on what it reads.
+type boundedCodec struct {
+	jsonrpc2.VarintObjectCodec
+}
+
+// ReadObject reads a message, which begins with its length.
+func (boundedCodec) ReadObject(stream *bufio.Reader, message any) error {
+	length, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if length > maxMessageBytes {
+		return errors.Errorf("message of %d bytes is longer than %d", length, maxMessageBytes)
+	}
+	return json.NewDecoder(io.LimitReader(stream, int64(length))).Decode(message)
+}
+
 // discardLogger drops the log lines of the JSON-RPC library. The errors of the calls on a connection
 // already show that it has ended.
 var discardLogger = log.New(io.Discard, "", 0)
@@ -74,7 +95,7 @@
 		_ = conn.Close()
 		return
 	}
-	stream := jsonrpc2.NewBufferedStream(&bufferedConn{Conn: conn, reader: buffer.Reader}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(&bufferedConn{Conn: conn, reader: buffer.Reader}, boundedCodec{})
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
 	s.track(jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(discardLogger)))
 }
@@ -198,17 +219,18 @@
 	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
 		_ = conn.SetDeadline(deadline)
 	}
-	reader, err := upgrade(ctx, conn, peer)
+	limited := &headlimiter.Conn{Conn: conn}
+	reader, err := upgrade(ctx, limited, peer)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	stream := jsonrpc2.NewBufferedStream(&bufferedConn{Conn: conn, reader: reader}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(&bufferedConn{Conn: limited, reader: reader}, boundedCodec{})
 	return jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuseCalls), jsonrpc2.SetLogger(discardLogger)), nil
 }
 
-func upgrade(ctx context.Context, conn net.Conn, peer netip.AddrPort) (*bufio.Reader, error) {
+func upgrade(ctx context.Context, conn *headlimiter.Conn, peer netip.AddrPort) (*bufio.Reader, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+Path, nil)
 	if err != nil {
 		return nil, err
@@ -219,7 +241,7 @@
 		return nil, err
 	}
 	reader := bufio.NewReader(conn)
-	response, err := http.ReadResponse(reader, request)
+	response, err := conn.ReadResponse(reader, request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/headlimiter"
 )
 
 const (
@@ -31,16 +32,11 @@
 	maxIdlePerPeer    = 16
 	connectTimeout    = 400 * time.Millisecond
 	readBufferBytes   = 4 << 10
-	// maxHeadBytes bounds the head of a response, together with all informational heads before it.
-	maxHeadBytes = 64 << 10
 	// maxInlineBodyBytes is the size of the largest body that is written before the response is
 	// read. An upstream may respond before it has read a longer body.
 	maxInlineBodyBytes = 16 << 10
 )
 
-// errHeadTooLong means that the head of a response exceeds maxHeadBytes.
-var errHeadTooLong = errors.Errorf("head of the response is longer than %d bytes", maxHeadBytes)
-
 // Error is returned for a request that got no response or an incomplete one.
 type Error struct {
 	// IsUnsent is true if no part of the request can have reached the upstream.
@@ -91,25 +87,9 @@
 
 // connection is idle or serves one request.
 type connection struct {
-	net.Conn
+	*headlimiter.Conn
 	reader  *bufio.Reader // reads from the connection itself
 	expires time.Time     // when it may no longer be reused
-
-	isReadingHead bool
-	headBytes     int // received since the request was sent
-}
-
-// Read reads from the socket. While the head of a response is read, it bounds the bytes.
-func (c *connection) Read(p []byte) (int, error) {
-	if !c.isReadingHead {
-		return c.Conn.Read(p)
-	}
-	if c.headBytes >= maxHeadBytes {
-		return 0, errHeadTooLong
-	}
-	n, err := c.Conn.Read(p[:min(len(p), maxHeadBytes-c.headBytes)])
-	c.headBytes += n
-	return n, err
 }
 
 // New returns a requester with an empty pool.
@@ -147,7 +127,7 @@
 		a.Close()
 		return nil, err
 	}
-	response, err := conn.readHead(r.Method) //nolint:bodyclose // Response.Close closes or reuses the connection.
+	response, err := conn.ReadResponse(conn.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // Response.Close closes or reuses the connection.
 	if err != nil {
 		a.isFailed = true
 		a.Close()
@@ -208,21 +188,6 @@
 	w.bodyWritten <- err
 }
 
-// readHead reads the status and header of the final response and skips informational ones.
-func (c *connection) readHead(method string) (*http.Response, error) {
-	c.isReadingHead, c.headBytes = true, 0
-	defer func() { c.isReadingHead = false }()
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
-}
-
 // Read reads the body. It returns io.EOF only if the body is complete; other errors are of type
 // *Error.
 func (a *Response) Read(p []byte) (int, error) {
@@ -288,7 +253,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "Requester.conn")
 	}
-	c := &connection{Conn: opened}
+	c := &connection{Conn: &headlimiter.Conn{Conn: opened}}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -351,7 +316,7 @@
 // response; such bytes would belong to no request. Connections that do not expose their socket,
 // such as TLS, pass unchecked.
 func (c *connection) isReusable() bool {
-	socket, hasSocket := c.Conn.(syscall.Conn)
+	socket, hasSocket := c.Conn.Conn.(syscall.Conn)
 	if !hasSocket {
 		return true
 	}
