--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -147,7 +147,7 @@
 		u.isReplaced = false
 		byID[listed.ID] = u
 		b.byService[listed.Service] = append(b.byService[listed.Service], u)
-		byAddress[listed.Address] = younger(byAddress[listed.Address], u)
+		byAddress[listed.Address] = keepYounger(byAddress[listed.Address], u)
 		if known := b.byMachine[listed.Address.Addr()]; known == nil || !u.Born.Before(known.Born) {
 			b.byMachine[listed.Address.Addr()] = u
 		}
@@ -155,9 +155,9 @@
 	b.byID = byID
 }
 
-// younger returns the one of two upstreams at an address that started later, and marks the other
+// keepYounger returns the one of two upstreams at an address that started later and marks the other
 // one as replaced. Of two that started at the same time it returns the second.
-func younger(first, second *upstream) *upstream {
+func keepYounger(first, second *upstream) *upstream {
 	switch {
 	case first == nil || first.Born.Equal(second.Born):
 		return second
