Log when a release's time is noted, and the weights that answered a call

The logs could not tell the three hypotheses on old weights apart: whether an entry knows a release at all, which time it counts from, and which weights a call ran on. Now each entry logs the time that it notes for a release, and each answered call its weights. No logic changes.

--- a/internal/process/distributor/releases.go
+++ b/internal/process/distributor/releases.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/subsetter"
@@ -85,9 +87,16 @@
 		list = slices.Delete(list, 0, 1)
 	}
 	d.named[r.Model] = list
+	d.logRelease(r.Model, n)
 	d.notifySoon()
 }
 
+// logRelease logs the time from which on this entry counts the switch to a release.
+func (d *Distributor) logRelease(model string, n named) {
+	d.c.Log.Info("store: time of a release noted", zap.String("Model", model), zap.Int64("Version", n.version),
+		zap.Duration("Age", time.Since(n.at)), zap.Bool("IsGuess", n.isGuess))
+}
+
 // notifySoon makes the next notices to agents due.
 func (d *Distributor) notifySoon() {
 	select {
@@ -117,6 +126,7 @@
 	for i := range list {
 		if list[i].version == version && (list[i].isGuess || at.Before(list[i].at)) {
 			list[i].at, list[i].isGuess = at, false
+			d.logRelease(model, list[i])
 		}
 	}
 }
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -104,7 +104,7 @@
 		switch x.attempt(ctx, u) {
 		case delivered:
 			x.log("answered", zap.String("Upstream", u.ID), zap.Int("Rank", x.rank.Urgency()),
-				zap.Duration("Waited", x.queueTime), zap.Duration("First", x.first))
+				zap.Duration("Waited", x.queueTime), zap.Duration("First", x.first), zap.Int64("Weights", x.weights))
 			x.recordAnswered()
 			return
 		case callerGone:
