--- /dev/null
+++ b/standin/simulator/release_test.go
@@ -0,0 +1,69 @@
+package simulator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/standin/simulator"
+)
+
+// betweenReleases is the time from the first to the second release of the tests below.
+const betweenReleases = 3500 * time.Millisecond
+
+// TestEntryRestartBetweenReleases guards against an entry that starts after two releases and sends
+// calls to the oldest weights until the second release is due. No engine can load either.
+func TestEntryRestartBetweenReleases(t *testing.T) {
+	t.Parallel()
+	run(t, simulator.Config{Entries: 4, Engines: 6, Slots: 8, Events: 8}, 0, func(h *harness) {
+		h.Origin.SetDown(true)
+		h.load("chat", 20, 14*time.Second, 500)
+		releasedAt := time.Now()
+		h.release(2)
+		time.Sleep(betweenReleases)
+		h.release(3)
+		time.Sleep(500 * time.Millisecond)
+		h.Entries[1].Kill()
+		if err := h.Entries[1].Start(h.t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		h.checkVersions(2, releasedAt)
+	})
+}
+
+// TestDomainAwayBetweenReleases guards against entries that are cut off from the store and all other
+// failure domains while two releases are named, and know only the second one afterwards.
+func TestDomainAwayBetweenReleases(t *testing.T) {
+	t.Parallel()
+	run(t, simulator.Config{Entries: 6, Engines: 6, Slots: 8, Events: 8}, 0, func(h *harness) {
+		h.Origin.SetDown(true)
+		h.load("chat", 20, 14*time.Second, 500)
+		h.setAway(1, true)
+		time.Sleep(200 * time.Millisecond)
+		releasedAt := time.Now()
+		h.release(2)
+		time.Sleep(betweenReleases)
+		h.release(3)
+		time.Sleep(500 * time.Millisecond)
+		h.setAway(1, false)
+		time.Sleep(10 * time.Second)
+		h.checkVersions(2, releasedAt)
+	})
+}
+
+// release names a version of the weights.
+func (h *harness) release(version int64) {
+	h.Store.Release(foxtailwharf.Release{Model: "m", Version: version})
+}
+
+// setAway cuts a failure domain off from the store and from the other domains, or connects it again.
+func (h *harness) setAway(domain int, isAway bool) {
+	const domains = 3
+	h.SetDomainAway(domain, isAway)
+	for index, e := range h.Entries {
+		if index%domains == domain {
+			h.Store.SetUnavailable(e.Name, isAway)
+		}
+	}
+}
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -181,6 +181,16 @@
 	return bytes
 }
 
+// SetDomainAway cuts a failure domain off from all others, or connects it again. Callers still reach
+// it.
+func (f *Fleet) SetDomainAway(domain int, isAway bool) {
+	for other := range f.c.Domains {
+		if other != domain {
+			f.network.SetPartitioned(f.failureDomain(domain), f.failureDomain(other), isAway)
+		}
+	}
+}
+
 // CallerHost returns a new machine for callers, outside the fleet's failure domains.
 func (f *Fleet) CallerHost() *standin.Host {
 	return f.network.Host("callers", "callers", 0)
