Processes tell each other when every release was named, not only the newest

What callers saw: calls that began on weights which a newer release should have replaced by then (VERSION). Cause: entries and agents told each other the newest release and its age alone. An entry that started anew, or came back after it was cut off or stood still, while two releases were on their way learned the newer one only, and its deadline for the oldest weights became that of the newer release. Class: a deadline that depends on events which a process may have missed was derived from the last of them. Change: timekeeper keeps the times of all releases that are not due, by the clock that also advances while a machine is suspended; notices, reports and answers between entries carry them. What an entry hears after a gap in its contact with the store counts as named at an unknown time until others know better. A corrected time takes effect at once; before, it took the next change of the list or the entries.

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -14,6 +14,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/delayestimator"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
@@ -65,6 +66,7 @@
 	if v.Configuration == nil || len(agents) == 0 {
 		return urgentInterval
 	}
+	d.updateBalancer()
 	interval := noticeInterval
 	for service, list := range agents {
 		notice := d.notice(v, service)
@@ -103,10 +105,12 @@
 			notice.OriginRate = s.OriginRate
 		}
 	}
-	if r, isNamed := d.newestRelease(model); isNamed {
-		notice.Release = r.version
-		notice.IsGuess = r.isGuess
-		notice.AgeMillis = time.Since(r.at).Milliseconds()
+	now := d.c.Clock()
+	if named := d.namedReleases(now, model); len(named) > 0 {
+		messages := timekeeper.ToWire(now, "", named)
+		newest := messages[len(messages)-1]
+		notice.Release, notice.AgeMillis, notice.IsGuess = newest.Version, newest.AgeMillis, newest.IsGuess
+		notice.Earlier = messages[:len(messages)-1]
 	}
 	return notice
 }
@@ -217,7 +221,8 @@
 	d.sendFirstNotice(from, report)
 	d.handleEntries(report.Entries)
 	if report.Release > 0 {
-		d.updateReleaseTime(report.Model, report.Release, time.Duration(report.ReleaseAgeMillis)*time.Millisecond)
+		newest := wire.NamedRelease{Version: report.Release, AgeMillis: report.ReleaseAgeMillis}
+		d.mergeReleases(report.Model, timekeeper.FromWire(arrived, append(report.Earlier, newest)))
 	}
 }
 
@@ -267,11 +272,7 @@
 	}
 	count := d.recordEntries(list)
 	d.forwarder.SetRetryExtra(d.retryExtra(count))
-	v := d.follower.View()
-	d.assigner.Update(func(b *balancer.Balancer) {
-		b.SetEntries(count)
-		d.setReleases(b, v.Configuration)
-	})
+	d.assigner.Update(func(b *balancer.Balancer) { b.SetEntries(count) })
 }
 
 // recordEntries records the listed entries, forgets those that were last listed more than entryTTL
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -29,6 +29,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/forwarder"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/retrylimiter"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
 )
 
 // Margins, timeouts and limits of an entry.
@@ -86,8 +87,11 @@
 	notifyNow chan struct{} // capacity 1; makes the next notices to agents due
 
 	mu         sync.Mutex
-	peerRandom *rand.Rand         // selects the entries to query
-	named      map[string][]named // by model, newest last
+	peerRandom *rand.Rand // selects the entries to query
+	timekeeper *timekeeper.Timekeeper
+	// lastProof is the time of the last proof of the configuration, and catchUpUntil ends the time
+	// after a gap between two proofs.
+	lastProof, catchUpUntil time.Duration
 	// hasReleases is set once the releases have been read from the store.
 	hasReleases    bool
 	agents         []foxtailwharf.Upstream        // upstreams with an engine, of all services
@@ -116,7 +120,7 @@
 		meter:          meter.New(),
 		messages:       messenger.NewServer(),
 		client:         messenger.NewClient(c.Network),
-		named:          make(map[string][]named),
+		timekeeper:     timekeeper.New(timekeeper.Config{Switch: c.Settings.Switch}),
 		lists:          make(map[netip.Addr]agentList),
 		delayestimator: delayestimator.New(),
 		fullLinks:      make(map[netip.Addr]bool),
@@ -274,6 +278,7 @@
 func (d *Distributor) applyView(v follower.View) {
 	isSame := v.IsSame(d.applied)
 	d.applied = v
+	d.recordProof(v)
 	if isSame {
 		d.forwarder.SetView(v)
 		return
--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -143,6 +143,8 @@
 		return answer, err
 	}
 	state.IsFromSource = isFromSource
+	// Before the releases themselves, which would be noted as named just now.
+	d.mergeAllReleases(asked, answer.Named)
 	d.follower.Merge(state)
 	return answer, nil
 }
@@ -202,6 +204,7 @@
 			return answer, err
 		}
 	}
+	answer.Named = d.allNamedReleases()
 	answer.Releases, err = pack(v.Releases)
 	return answer, err
 }
--- a/internal/process/distributor/releases.go
+++ b/internal/process/distributor/releases.go
@@ -10,6 +10,8 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/subsetter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
+	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
 // Limits on releases.
@@ -19,24 +21,17 @@
 	// unknownReleaseDelay is how long an entry that has just started accepts answers of older
 	// weights if it does not know when a release was named. Agents report that soon.
 	unknownReleaseDelay = 2500 * time.Millisecond
-	// maxNamed is the number of releases remembered for a model. Many may be named within the
-	// time of one switch.
-	maxNamed = 64
+	// maxProofGap is the longest time between two proofs of the configuration at an entry that is in
+	// contact with the store, itself or through others.
+	maxProofGap = 3 * time.Second
+	// catchUpTime is how long after such a gap an entry may hear of releases that were named in it.
+	catchUpTime = time.Second
 )
 
-// named is a release and the time at which any entry first heard of it.
-type named struct {
-	version int64
-	at      time.Time
-	// isGuess is set if the time is unknown because the release was named before the entry started.
-	isGuess bool
-}
-
 // updateFromView records the releases and agents of a new view of the store.
 func (d *Distributor) updateFromView(v follower.View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
 	agents := d.agents
 	defer func() {
 		if !slices.Equal(agents, d.agents) {
@@ -44,7 +39,7 @@
 		}
 	}()
 	for _, r := range v.Releases {
-		d.addRelease(r, named{version: r.Version, at: now, isGuess: !d.hasReleases})
+		d.addRelease(r, !d.hasReleases || d.mayBeLate())
 	}
 	d.hasReleases = d.hasReleases || v.HasReleases
 	d.agents, d.chosen = nil, nil
@@ -53,7 +48,7 @@
 	}
 	for _, s := range v.Configuration.Services {
 		if s.Engine != nil && v.HasReleases {
-			d.addRelease(foxtailwharf.Release{Model: s.Engine.Model, Version: firstRelease}, named{version: firstRelease, at: now, isGuess: true})
+			d.addRelease(foxtailwharf.Release{Model: s.Engine.Model, Version: firstRelease}, true)
 		}
 	}
 	for _, u := range v.Upstreams {
@@ -72,63 +67,104 @@
 	return d.chosen
 }
 
-// addRelease records a release if it is newer than the known ones. The caller must hold d.mu.
-func (d *Distributor) addRelease(r foxtailwharf.Release, n named) {
-	list := d.named[r.Model]
-	if len(list) > 0 && list[len(list)-1].version >= r.Version {
+// recordProof records when the store was last heard. After a gap, releases may have been named in it.
+func (d *Distributor) recordProof(v follower.View) {
+	if !v.HasProof {
 		return
 	}
-	list = append(list, n)
-	if len(list) > maxNamed {
-		// The oldest is dropped, and the next one takes over its time if that is earlier.
-		if list[0].at.Before(list[1].at) {
-			list[1].at = list[0].at
-		}
-		list = slices.Delete(list, 0, 1)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lastProof > 0 && v.ConfiguredAt-d.lastProof > maxProofGap {
+		d.catchUpUntil = d.c.Clock() + catchUpTime
+	}
+	d.lastProof = max(d.lastProof, v.ConfiguredAt)
+}
+
+// mayBeLate reports whether releases that are heard of now may have been named long before. The
+// caller must hold d.mu.
+func (d *Distributor) mayBeLate() bool {
+	now := d.c.Clock()
+	return now < d.catchUpUntil || now-d.lastProof > maxProofGap
+}
+
+// addRelease notes a release that this entry has just heard of. isGuess is set if it may have been
+// named long before. The caller must hold d.mu.
+func (d *Distributor) addRelease(r foxtailwharf.Release, isGuess bool) {
+	n := timekeeper.Named{Version: r.Version, At: d.c.Clock(), IsGuess: isGuess}
+	if !d.timekeeper.Add(r.Model, n) {
+		return
 	}
-	d.named[r.Model] = list
 	d.logRelease(r.Model, n)
 	d.notifySoon()
 }
 
-// logRelease logs the time from which on this entry counts the switch to a release.
-func (d *Distributor) logRelease(model string, n named) {
-	d.c.Log.Info("store: time of a release noted", zap.String("Model", model), zap.Int64("Version", n.version),
-		zap.Duration("Age", time.Since(n.at)), zap.Bool("IsGuess", n.isGuess))
+// mergeReleases notes what another process knows of the releases of a model. A list that is received
+// has to be whole: without the releases between two others, older weights would be used too long.
+func (d *Distributor) mergeReleases(model string, list []timekeeper.Named) {
+	d.mu.Lock()
+	changed := d.timekeeper.Merge(model, list)
+	for _, n := range changed {
+		d.logRelease(model, n)
+	}
+	if len(changed) > 0 {
+		d.notifySoon()
+	}
+	d.mu.Unlock()
+	if len(changed) > 0 {
+		d.updateBalancer()
+	}
 }
 
-// notifySoon makes the next notices to agents due.
-func (d *Distributor) notifySoon() {
-	select {
-	case d.notifyNow <- struct{}{}:
-	default:
-	}
+// logRelease logs the time from which on this entry counts the switch to a release.
+func (d *Distributor) logRelease(model string, n timekeeper.Named) {
+	d.c.Log.Info("store: time of a release noted", zap.String("Model", model), zap.Int64("Version", n.Version),
+		zap.Duration("Age", d.c.Clock()-n.At), zap.Bool("IsGuess", n.IsGuess))
 }
 
-// newestRelease returns the newest release of a model; isNamed is false if there is none.
-func (d *Distributor) newestRelease(model string) (n named, isNamed bool) {
+// namedReleases returns what other processes have to know of the releases of a model, in ascending
+// order; empty if it has none.
+func (d *Distributor) namedReleases(now time.Duration, model string) []timekeeper.Named {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := d.named[model]
-	if len(list) == 0 {
-		return n, false
-	}
-	return list[len(list)-1], true
+	return d.timekeeper.Pending(now, model)
 }
 
-// updateReleaseTime records an agent's report of how long ago a release was first heard of. The
-// earliest time counts.
-func (d *Distributor) updateReleaseTime(model string, version int64, age time.Duration) {
-	at := time.Now().Add(-age)
+// allNamedReleases returns the same of all models as a message.
+func (d *Distributor) allNamedReleases() (messages []wire.NamedRelease) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := d.named[model]
-	for i := range list {
-		if list[i].version == version && (list[i].isGuess || at.Before(list[i].at)) {
-			list[i].at, list[i].isGuess = at, false
-			d.logRelease(model, list[i])
-		}
+	now := d.c.Clock()
+	for _, model := range d.timekeeper.Models() {
+		messages = append(messages, timekeeper.ToWire(now, model, d.timekeeper.Pending(now, model))...)
 	}
+	return messages
+}
+
+// mergeAllReleases notes the releases of all models in a message that was requested at the time
+// asked.
+func (d *Distributor) mergeAllReleases(asked time.Duration, messages []wire.NamedRelease) {
+	byModel := make(map[string][]wire.NamedRelease)
+	for _, m := range messages {
+		byModel[m.Model] = append(byModel[m.Model], m)
+	}
+	for model, list := range byModel {
+		d.mergeReleases(model, timekeeper.FromWire(asked, list))
+	}
+}
+
+// notifySoon makes the next notices to agents due.
+func (d *Distributor) notifySoon() {
+	select {
+	case d.notifyNow <- struct{}{}:
+	default:
+	}
+}
+
+// updateBalancer puts the releases into effect. The times of the balancer come from a clock that
+// stands still while the machine is suspended, so that this has to be repeated.
+func (d *Distributor) updateBalancer() {
+	c := d.follower.View().Configuration
+	d.assigner.Update(func(b *balancer.Balancer) { d.setReleases(b, c) })
 }
 
 // setReleases sets in the balancer which weights may answer, and from when.
@@ -138,18 +174,20 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now, clock := time.Now(), d.c.Clock()
 	for name, s := range c.Services {
 		if s.Engine == nil {
 			continue
 		}
-		for _, n := range d.named[s.Engine.Model] {
-			cutoffAt := n.at.Add(d.c.Settings.Switch - switchMargin)
-			startDeadline := n.at.Add(d.c.Settings.Switch - dueMargin)
-			if n.isGuess {
-				cutoffAt = n.at.Add(unknownReleaseDelay)
+		for _, n := range d.timekeeper.Named(s.Engine.Model) {
+			namedAt := now.Add(n.At - clock)
+			cutoffAt := namedAt.Add(d.c.Settings.Switch - switchMargin)
+			startDeadline := namedAt.Add(d.c.Settings.Switch - dueMargin)
+			if n.IsGuess {
+				cutoffAt = namedAt.Add(unknownReleaseDelay)
 				startDeadline = cutoffAt
 			}
-			b.SetRelease(name, n.version, cutoffAt, startDeadline)
+			b.SetRelease(name, n.Version, cutoffAt, startDeadline)
 		}
 	}
 }
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -94,7 +94,7 @@
 	goneFloor      uint64                                    // removals up to this sequence are no longer known
 	reachable      chan struct{}                             // closed when the store answers again
 	base           Position                                  // position of the entry from which the list was taken; zero if from the store
-	releases       map[string]foxtailwharf.Release           // by model
+	releases       map[string][]foxtailwharf.Release         // by model, in ascending order of version
 	graceUntil     map[string]time.Duration                  // end of the grace period, by ID of the upstream
 	outageEnd      time.Duration                             // end of the last outage, by the clock; 0 for none
 	calls          map[foxtailwharf.FleetSubject]pendingCall // in progress
@@ -109,7 +109,7 @@
 		upstreams:  make(map[string]foxtailwharf.Upstream),
 		changedAt:  make(map[string]uint64),
 		goneAt:     make(map[string]uint64),
-		releases:   make(map[string]foxtailwharf.Release),
+		releases:   make(map[string][]foxtailwharf.Release),
 		graceUntil: make(map[string]time.Duration),
 		calls:      make(map[foxtailwharf.FleetSubject]pendingCall),
 	}
@@ -247,12 +247,19 @@
 	}
 }
 
+// maxReleases is the number of releases kept for a model. The newest is not enough: each replaces the
+// releases before it at a time of its own.
+const maxReleases = 16
+
 func (f *Follower) applyReleases(releases []foxtailwharf.Release) {
 	for _, r := range releases {
-		if r.Version > f.releases[r.Model].Version {
-			f.releases[r.Model] = r
-			f.c.Log.Info("store: new release of a model named", zap.String("Model", r.Model), zap.Int64("Version", r.Version))
+		known := f.releases[r.Model]
+		if len(known) > 0 && r.Version <= known[len(known)-1].Version {
+			continue
 		}
+		known = append(known, r)
+		f.releases[r.Model] = known[max(len(known)-maxReleases, 0):]
+		f.c.Log.Info("store: new release of a model named", zap.String("Model", r.Model), zap.Int64("Version", r.Version))
 	}
 }
 
@@ -268,7 +275,7 @@
 	}
 	f.view.Releases = make([]foxtailwharf.Release, 0, len(f.releases))
 	for _, model := range slices.Sorted(maps.Keys(f.releases)) {
-		f.view.Releases = append(f.view.Releases, f.releases[model])
+		f.view.Releases = append(f.view.Releases, f.releases[model]...)
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/internal/process/follower/view.go
+++ b/internal/process/follower/view.go
@@ -11,7 +11,7 @@
 type View struct {
 	Configuration *foxtailwharf.Configuration // nil before the first read
 	Upstreams     []foxtailwharf.Upstream     // sorted by ID
-	Releases      []foxtailwharf.Release
+	Releases      []foxtailwharf.Release      // of each model in ascending order of version
 	// ConfiguredAt is the latest time, by the clock, at which the configuration was certainly
 	// the newest. It is valid only if HasProof is set.
 	ConfiguredAt time.Duration
--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -89,7 +89,7 @@
 // step performs the next step towards the wanted release.
 func (i *installLoop) step(ctx context.Context) error {
 	i.p.mu.Lock()
-	wanted, load := i.p.wantedRelease, i.p.load
+	wanted, load := i.p.wanted(), i.p.load
 	i.p.mu.Unlock()
 	if wanted.release.Version == 0 {
 		return nil
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -28,6 +28,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/version/fetcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/throttler"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/uploader"
 )
 
@@ -102,7 +103,8 @@
 	cancel         context.CancelFunc
 
 	mu              sync.Mutex
-	wantedRelease   wantedRelease
+	model           string // that the engine serves, as the entries say
+	timekeeper      *timekeeper.Timekeeper
 	agents          []foxtailwharf.Instance
 	digest          string   // digest of agents as the entries sent it
 	revision        uint64   // revision of the store at which agents was read
@@ -126,7 +128,6 @@
 type wantedRelease struct {
 	release foxtailwharf.Release
 	namedAt time.Time // when an entry first heard of the release
-	isGuess bool      // the entry that sent it does not know namedAt
 }
 
 // New builds an agent. It does nothing until Start.
@@ -141,6 +142,7 @@
 		entries:         make(map[netip.AddrPort]entry),
 		manifestDigests: make(map[foxtailwharf.Release]string),
 		delayestimator:  delayestimator.New(),
+		timekeeper:      timekeeper.New(timekeeper.Config{Switch: c.Settings.Switch}),
 	}
 	rate := int64(c.Settings.LinkMegabits * 1e6 / bitsPerByte * uploadFraction)
 	p.throttler = throttler.New(throttler.Config{Downloads: concurrentDownloads, Rate: rate})
@@ -169,6 +171,21 @@
 	return p
 }
 
+// wanted returns the newest release; its version is 0 if there is none. p.mu must be held.
+func (p *Provisioner) wanted() (w wantedRelease) {
+	newest, isNamed := p.timekeeper.Newest(p.model)
+	if !isNamed {
+		return w
+	}
+	return wantedRelease{release: newest.Release(p.model), namedAt: p.localTime(newest)}
+}
+
+// localTime returns when a release was named. The clock that it comes from also advances while the
+// machine is suspended, so that the result must not be kept.
+func (p *Provisioner) localTime(n timekeeper.Named) time.Time {
+	return time.Now().Add(n.At - p.c.Clock())
+}
+
 func (p *Provisioner) allowedDownloads() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -10,6 +10,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/delayestimator"
+	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
@@ -146,7 +147,7 @@
 
 // shortened returns the report without the entries and the release, which rarely change.
 func shortened(report wire.FleetReport) wire.FleetReport {
-	report.Entries, report.Model, report.Release, report.ReleaseAgeMillis = nil, "", 0, 0
+	report.Entries, report.Model, report.Release, report.ReleaseAgeMillis, report.Earlier = nil, "", 0, 0, nil
 	return report
 }
 
@@ -194,10 +195,7 @@
 		// An entry with an older list does not send it to this agent.
 		ListRevision: p.revision,
 	}
-	if w := p.wantedRelease; w.release.Version > 0 && !w.isGuess {
-		report.Model, report.Release = w.release.Model, w.release.Version
-		report.ReleaseAgeMillis = now.Sub(w.namedAt).Milliseconds()
-	}
+	p.addReleases(&report)
 	byDomain := make(map[string][]string)
 	for address, e := range p.entries {
 		if now.Sub(e.lastNotice) > entryTTL {
@@ -243,28 +241,39 @@
 		p.originRegion = p.c.Settings.Regions[n.OriginDomain]
 		p.originRate = n.OriginRate
 	}
-	p.updateRelease(n, now)
+	p.updateReleases(n, arrived)
 	if len(n.Domains) > 0 && n.Digest != p.digest && (n.ListRevision > p.revision || p.digest == "") {
 		p.updateAgents(n)
 	}
 }
 
-// updateRelease adopts a newer release, or an earlier naming time of the same release. p.mu must
+// addReleases adds the releases to a report, unless the time of the newest is unknown here. p.mu must
 // be held.
-func (p *Provisioner) updateRelease(n wire.FleetNotice, now time.Time) {
-	if n.Model == "" || n.Release < p.wantedRelease.release.Version {
+func (p *Provisioner) addReleases(report *wire.FleetReport) {
+	now := p.c.Clock()
+	named := p.timekeeper.Pending(now, p.model)
+	if len(named) == 0 || named[len(named)-1].IsGuess {
 		return
 	}
-	namedAt := now.Add(-time.Duration(n.AgeMillis) * time.Millisecond)
-	release := foxtailwharf.Release{Model: n.Model, Version: n.Release}
-	if release == p.wantedRelease.release {
-		if !n.IsGuess && (p.wantedRelease.isGuess || namedAt.Before(p.wantedRelease.namedAt)) {
-			p.wantedRelease.namedAt, p.wantedRelease.isGuess = namedAt, false
-		}
+	messages := timekeeper.ToWire(now, "", named)
+	newest := messages[len(messages)-1]
+	report.Model, report.Release, report.ReleaseAgeMillis = p.model, newest.Version, newest.AgeMillis
+	report.Earlier = messages[:len(messages)-1]
+}
+
+// updateReleases notes the releases in a notice. p.mu must be held.
+func (p *Provisioner) updateReleases(n wire.FleetNotice, arrived time.Duration) {
+	if n.Model == "" || n.Release == 0 {
 		return
 	}
-	p.wantedRelease = wantedRelease{release: release, namedAt: namedAt, isGuess: n.IsGuess}
-	p.c.Log.Info("agent: new release wanted", zap.String("Model", n.Model), zap.Int64("Version", n.Release))
+	p.model = n.Model
+	before, _ := p.timekeeper.Newest(n.Model)
+	newest := wire.NamedRelease{Version: n.Release, AgeMillis: n.AgeMillis, IsGuess: n.IsGuess}
+	p.timekeeper.Merge(n.Model, timekeeper.FromWire(arrived, append(n.Earlier, newest)))
+	if n.Release > before.Version {
+		p.c.Log.Info("agent: new release wanted", zap.String("Model", n.Model), zap.Int64("Version", n.Release),
+			zap.Int64("AgeMillis", n.AgeMillis), zap.Bool("IsGuess", n.IsGuess))
+	}
 }
 
 // updateAgents replaces the list of agents. p.mu must be held.
--- /dev/null
+++ b/internal/version/timekeeper/wire.go
@@ -0,0 +1,27 @@
+package timekeeper
+
+import (
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/wire"
+)
+
+// ToWire converts releases to a message that is sent at now. Model is empty where the message names
+// the model.
+func ToWire(now time.Duration, model string, list []Named) (messages []wire.NamedRelease) {
+	for _, n := range list {
+		messages = append(messages, wire.NamedRelease{
+			Model: model, Version: n.Version, AgeMillis: (now - n.At).Milliseconds(), IsGuess: n.IsGuess,
+		})
+	}
+	return messages
+}
+
+// FromWire converts a message. The time now must be before the message was sent for, so that nothing
+// seems to have been named later than it was.
+func FromWire(now time.Duration, messages []wire.NamedRelease) (list []Named) {
+	for _, m := range messages {
+		list = append(list, Named{Version: m.Version, At: now - time.Duration(m.AgeMillis)*time.Millisecond, IsGuess: m.IsGuess})
+	}
+	return list
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -265,6 +265,10 @@
 	// of the store, up to which Upstreams is complete
 	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
 
+	// when the releases that engines may still have to leave or to load were named,
+	// of each model in ascending order
+	Named []NamedRelease `json:"Named,omitempty,omitzero"`
+
 	// the answering process, and Sequence its place in the changes of its list
 	Process uint64 `json:"Process,omitempty,omitzero"`
 
@@ -316,6 +320,10 @@
 	// agents that share weights; left out where the agent has the list of this digest
 	Domains []FleetDomain `json:"Domains,omitempty,omitzero"`
 
+	// the releases before Release that engines may still have to leave, in ascending
+	// order
+	Earlier []NamedRelease `json:"Earlier,omitempty,omitzero"`
+
 	// the entry does not know when the release was named
 	IsGuess bool `json:"IsGuess,omitempty,omitzero"`
 
@@ -385,6 +393,10 @@
 	// digest of the list of agents that the agent knows
 	Digest string `json:"Digest,omitempty,omitzero"`
 
+	// the releases before Release that engines may still have to leave, in ascending
+	// order
+	Earlier []NamedRelease `json:"Earlier,omitempty,omitzero"`
+
 	// entries that the agent hears, by failure domain; left out in most reports
 	Entries []FleetDomain `json:"Entries,omitempty,omitzero"`
 
@@ -511,6 +523,21 @@
 // Messages between the processes of the system.
 type MessagesJson map[string]interface{}
 
+// NamedRelease says how long ago a release was first heard of by any entry.
+type NamedRelease struct {
+	// AgeMillis corresponds to the JSON schema field "AgeMillis".
+	AgeMillis int64 `json:"AgeMillis,omitempty,omitzero"`
+
+	// the release was named at an unknown time before that
+	IsGuess bool `json:"IsGuess,omitempty,omitzero"`
+
+	// left out where the message names the model
+	Model string `json:"Model,omitempty,omitzero"`
+
+	// Version corresponds to the JSON schema field "Version".
+	Version int64 `json:"Version"`
+}
+
 // Order tells an engine to change what it serves.
 type Order struct {
 	// Fence corresponds to the JSON schema field "Fence".
