A call that has not begun is taken back at the deadline, not at the next check after it

What callers could see: a call that began on replaced weights. Cause: the deadline was looked at every 0.1 s, so a call was taken back up to 0.1 s after it, which is half of the margin of 0.2 s; what the entry learns late, a processor that gets its share in pieces of a tenth of a second, and the engine's link can take the rest. Class: a deadline rounded up to a polling interval. Evidence: the test, cancelled after 1.101 s with a deadline at 1.05 s. Change: the check runs at the deadline itself if that is nearer. Measured: the test passes.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -32,7 +32,7 @@
 	// connection. Beyond them the connection is closed.
 	maxDrainBytes = 64 << 10
 	drainTimeout  = 100 * time.Millisecond
-	// upstreamCheckInterval is the time between two runs of checkUpstream.
+	// upstreamCheckInterval is the longest time between two runs of checkUpstream.
 	upstreamCheckInterval = 100 * time.Millisecond
 )
 
@@ -139,13 +139,24 @@
 		a.cancel(errUpstreamEnded)
 		return
 	}
-	if !a.hasEvent.Load() {
-		if startDeadline := a.x.f.c.Assigner.StartDeadline(a.upstream); !startDeadline.IsZero() && time.Now().After(startDeadline) {
+	next := upstreamCheckInterval
+	if startDeadline := a.startDeadline(); !startDeadline.IsZero() {
+		left := time.Until(startDeadline)
+		if left <= 0 {
 			a.cancel(errWeightsReplaced)
 			return
 		}
+		next = min(next, left)
 	}
-	a.checkTimer.Reset(upstreamCheckInterval)
+	a.checkTimer.Reset(next)
+}
+
+// startDeadline returns when the call must have begun; zero if it has, or if there is no limit.
+func (a *attempt) startDeadline() time.Time {
+	if a.hasEvent.Load() {
+		return time.Time{}
+	}
+	return a.x.f.c.Assigner.StartDeadline(a.upstream)
 }
 
 // handleSendError handles an attempt that got no answer.
