A call at an upstream that is no longer listed keeps its deadline for replaced weights

What callers could see: a call that began on replaced weights. Cause: the deadline came from the list; an upstream that was removed while a call waited there had none, so the call was left there until its own deadline. Of several releases the deadline was that of the oldest, not the earliest. Class: an obligation that was looked up in state which may be dropped before it is met. Evidence: the test, cancelled after 6.001 s with a deadline at 1.05 s. Change: for an upstream that is not listed, the weights with which it was listed count. Measured: the test passes.

--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -103,7 +103,7 @@
 func (a *Assigner) StartDeadline(u foxtailwharf.Upstream) time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.balancer.StartDeadline(time.Now(), u.ID)
+	return a.balancer.StartDeadline(time.Now(), u)
 }
 
 // Acquire waits for an upstream and counts the call as sent to it. The caller must report the end
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -114,19 +114,19 @@
 }
 
 // StartDeadline returns when a call at an upstream must have begun, because a newer version
-// replaces the weights that the upstream holds. It is zero if no newer version is known.
-func (b *Balancer) StartDeadline(now time.Time, id string) time.Time {
-	u := b.byID[id]
-	if u == nil {
-		return time.Time{}
+// replaces the weights that the upstream holds. It is zero if no newer version is known. Of an upstream
+// that is no longer listed, the weights are those with which it was listed.
+func (b *Balancer) StartDeadline(now time.Time, sentTo foxtailwharf.Upstream) (deadline time.Time) {
+	held := sentTo.Weights
+	if u := b.byID[sentTo.ID]; u != nil {
+		held = u.weights(u.reportAge(now))
 	}
-	held := u.weights(u.reportAge(now))
-	for _, r := range b.releases[u.Service] {
-		if r.version > held {
-			return r.startDeadline
+	for _, r := range b.releases[sentTo.Service] {
+		if r.version > held && (deadline.IsZero() || r.startDeadline.Before(deadline)) {
+			deadline = r.startDeadline
 		}
 	}
-	return time.Time{}
+	return deadline
 }
 
 // Set replaces the list of upstreams. The state of those that remain is kept; an upstream that
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -87,7 +87,7 @@
 			t.Errorf("after %s: have %v, want %v", tt.after, have, tt.want)
 		}
 	}
-	if have := b.StartDeadline(start, "u1"); !have.Equal(start.Add(8 * time.Second)) {
+	if have := b.StartDeadline(start, listed(1, "near", 1)); !have.Equal(start.Add(8 * time.Second)) {
 		t.Errorf("a call on version 1 must begin by the deadline of version 2, have %s", have)
 	}
 }
--- a/internal/request/forwarder/release_test.go
+++ b/internal/request/forwarder/release_test.go
@@ -14,9 +14,11 @@
 func TestNotBegunAtDeadline(t *testing.T) {
 	const cutoff, deadline = 500 * time.Millisecond, 1050 * time.Millisecond
 	tests := []struct {
-		name string
+		name      string
+		isRemoved bool // from the list, while the call waits
 	}{
-		{"listed engine"},
+		{"listed engine", false},
+		{"engine that is no longer listed", true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -31,6 +33,12 @@
 				b.view.Upstreams[0].Weights = 1
 				b.update()
 				b.assigner.Update(func(x *balancer.Balancer) { x.SetRelease("s", 2, released.Add(cutoff), released.Add(deadline)) })
+				if tt.isRemoved {
+					time.AfterFunc(300*time.Millisecond, func() {
+						b.view.Upstreams = nil
+						b.update()
+					})
+				}
 				b.call("/tale/1", nil)
 				// The network takes a millisecond.
 				if after := (<-cancelled).Sub(released); after > deadline+2*time.Millisecond {
