An agent that starts between two releases loads in time for the first one

What callers saw: from the first release's deadline on, entries sent nothing to engines on the oldest weights, which an agent that had started anew left loaded until the second release was due. Evidence: the test, in which an engine held version 1 at 8 s. Change: the release that must first replace the engine's weights, from the shared times, decides when the engine loads.

--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -29,8 +29,8 @@
 	// supersededLoadFraction replaces both when a newer release is being fetched, which would make
 	// the load unnecessary.
 	supersededLoadFraction = 0.9
-	// laggingLoadFraction replaces firstLoadFraction when the engine does not hold the previous
-	// release either. It is counted from the time that the previous release was named.
+	// laggingLoadFraction replaces firstLoadFraction when the engine does not hold an earlier
+	// release either. It is counted from the time that the earlier release was named.
 	laggingLoadFraction = 0.65
 	// loadTimeout is how long a load may take before it is ordered again.
 	loadTimeout = 6 * time.Second
@@ -276,13 +276,25 @@
 		r.stalledAge = time.Since(r.namedAt)
 	}
 	loadAge := i.loadAgeWithin(r, firstLoadFraction, lastLoadFraction)
-	if r == i.newest && i.previous != nil && held < i.previous.release.Version {
-		between := r.namedAt.Sub(i.previous.namedAt)
+	if between := i.sinceReplaced(held); r == i.newest && between > 0 {
 		loadAge = min(loadAge, i.loadAgeWithin(r, laggingLoadFraction, lastLoadFraction)-between)
 	}
 	return loadAge
 }
 
+// sinceReplaced returns the time from the release that must first replace the weights which the engine
+// holds until the newest one; 0 if that is the same or none.
+func (i *installLoop) sinceReplaced(held int64) time.Duration {
+	i.p.mu.Lock()
+	defer i.p.mu.Unlock()
+	first, isNamed := i.p.timekeeper.Replacing(i.p.model, held)
+	newest, _ := i.p.timekeeper.Newest(i.p.model)
+	if !isNamed {
+		return 0
+	}
+	return newest.At - first.At
+}
+
 // loadAgeWithin returns this engine's load age between two fractions of the switch time. A release
 // that was completed late leaves less time, over which the engines' loads are still spread.
 func (i *installLoop) loadAgeWithin(r *releaseState, first, last float64) time.Duration {
--- a/standin/simulator/engine.go
+++ b/standin/simulator/engine.go
@@ -86,6 +86,15 @@
 	return errors.Wrap(e.agent.Start(ctx), "Engine.StartAgent")
 }
 
+// RestartAgent stops the agent and starts it again. The engine goes on.
+func (e *Engine) RestartAgent(ctx context.Context) error {
+	if err := e.agent.Stop(ctx); err != nil {
+		return errors.Wrap(err, "Engine.RestartAgent")
+	}
+	e.cancel()
+	return e.StartAgent(ctx)
+}
+
 // LosePower stops the engine, its machine and the agent, and discards all staged chunks. The engine
 // starts again after restartDelay, machine and agent with Restart.
 func (e *Engine) LosePower(restartDelay time.Duration) {
--- a/standin/simulator/release_test.go
+++ b/standin/simulator/release_test.go
@@ -52,6 +52,32 @@
 	})
 }
 
+// TestAgentRestartBetweenReleases guards against agents that start after two releases and load the
+// second one by its own deadline: the entries send no calls to the oldest weights from the first one's
+// deadline on.
+func TestAgentRestartBetweenReleases(t *testing.T) {
+	t.Parallel()
+	run(t, simulator.Config{Entries: 4, Engines: 15, Slots: 8, Events: 8}, 0, func(h *harness) {
+		h.load("chat", 20, 14*time.Second, 500)
+		releasedAt := time.Now()
+		h.release(2)
+		time.Sleep(betweenReleases)
+		h.release(3)
+		time.Sleep(500 * time.Millisecond)
+		for _, e := range h.Engines {
+			if err := e.RestartAgent(h.t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(switchBound - time.Since(releasedAt))
+		for _, e := range h.Engines {
+			if held := e.Weights(); held < 2 {
+				t.Errorf("%s holds version %d %s after the release of version 2", e.ID, held, switchBound)
+			}
+		}
+	})
+}
+
 // release names a version of the weights.
 func (h *harness) release(version int64) {
 	h.Store.Release(foxtailwharf.Release{Model: "m", Version: version})
