--- a/call.go
+++ b/call.go
@@ -21,6 +21,9 @@
 	Model           string
 	PromptTokens    int
 	MaxAnswerTokens int
+	// PromptParts are the IDs of the parts of the prompt that other calls may have too, in order. The
+	// last part of a prompt belongs to the call itself or to its conversation and is left out.
+	PromptParts []string
 	LastEventID     string
 	Body            []byte
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -172,7 +172,8 @@
 
 // handleBroken handles an attempt that may have run but whose answer is missing or incomplete.
 func (a *attempt) handleBroken(ctx context.Context, err error) (outcome, balancer.Result) {
-	a.log("upstream sent no complete answer", zap.Error(err), zap.NamedError("Cause", context.Cause(ctx)))
+	a.log("upstream sent no complete answer", zap.Error(err), zap.NamedError("Cause", context.Cause(ctx)),
+		zap.Bool("HasBegun", a.hasEvent.Load()), zap.Strings("PromptParts", a.x.call.PromptParts))
 	var failure *requester.Error
 	isEnded := errors.Is(context.Cause(ctx), errUpstreamEnded) || (ctx.Err() == nil && errors.As(err, &failure) && failure.IsBroken)
 	if isEnded && !a.x.f.c.Assigner.IsLoading(a.upstream) {
--- a/standin/dialect.go
+++ b/standin/dialect.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -22,6 +23,7 @@
 	HeaderSigned         = "X-Signed"
 	HeaderNotRun         = "X-Not-Run"
 	HeaderPromptTokens   = "X-Prompt-Tokens"
+	HeaderPromptParts    = "X-Prompt-Parts" // separated by commas, without the last one
 	HeaderLastEventID    = "Last-Event-Id"
 	versionPrefix        = "version: "
 )
@@ -37,6 +39,9 @@
 		Header: h, Key: h.Get(HeaderKey), LastEventID: h.Get(HeaderLastEventID),
 	}
 	c.PromptTokens = intOrZero(h.Get(HeaderPromptTokens))
+	if parts := h.Get(HeaderPromptParts); parts != "" {
+		c.PromptParts = strings.Split(parts, ",")
+	}
 	c.CallerTimeout = time.Duration(intOrZero(h.Get(HeaderTimeout))) * time.Millisecond
 	for _, name := range []string{HeaderKey, HeaderAccount, HeaderTimeout, "Content-Length", "Connection"} {
 		h.Del(name)
