--- a/call.go
+++ b/call.go
@@ -24,8 +24,8 @@
 	// PromptParts are the IDs of the parts of the prompt that other calls may have too, in order. The
 	// last part of a prompt belongs to the call itself or to its conversation and is left out.
 	PromptParts []string
-	LastEventID     string
-	Body            []byte
+	LastEventID string
+	Body        []byte
 }
 
 // Attempt is one try to run a call on an upstream.
--- a/standin/simulator/engine.go
+++ b/standin/simulator/engine.go
@@ -30,7 +30,10 @@
 func (f *Fleet) AddEngine(ctx context.Context, hasWeights bool) (*Engine, error) {
 	index := len(f.Engines)
 	e := &Engine{ID: fmt.Sprintf("engine-%d", index), f: f, index: index}
-	engineConfig := standin.SlotEngineConfig{ID: e.ID, Slots: f.c.Slots, Events: f.c.Events, Manifest: standin.TestManifest, OnStart: f.c.OnStart}
+	engineConfig := standin.SlotEngineConfig{
+		ID: e.ID, Slots: f.c.Slots, Events: f.c.Events, Manifest: standin.TestManifest, OnArrive: f.c.OnArrive, OnStart: f.c.OnStart,
+		CrashingParts: f.c.CrashingParts, CrashRestart: crashRestart,
+	}
 	if hasWeights {
 		engineConfig.Weights = 1
 		engineConfig.Staged = make(map[int][]byte)
--- a/standin/simulator/harness_test.go
+++ b/standin/simulator/harness_test.go
@@ -92,6 +92,15 @@
 
 // callWithin is call by a caller that says how long it waits; 0 for not saying so.
 func (h *harness) callWithin(entry *simulator.Entry, route, key string, promptTokens int, timeout time.Duration) result {
+	return h.callWith(entry, route, key, promptTokens, func(r *http.Request) {
+		if timeout > 0 {
+			r.Header.Set(standin.HeaderTimeout, strconv.FormatInt(timeout.Milliseconds(), 10))
+		}
+	})
+}
+
+// callWith is call with a request that is changed before it is sent.
+func (h *harness) callWith(entry *simulator.Entry, route, key string, promptTokens int, change func(r *http.Request)) result {
 	h.mu.Lock()
 	h.lastID++
 	id := fmt.Sprintf("%s-%d", route, h.lastID)
@@ -102,9 +111,7 @@
 		h.t.Error(err)
 		return res
 	}
-	if timeout > 0 {
-		r.Header.Set(standin.HeaderTimeout, strconv.FormatInt(timeout.Milliseconds(), 10))
-	}
+	change(r)
 	response, err := h.client.Do(r)
 	if err == nil {
 		res.status = response.StatusCode
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -24,6 +24,7 @@
 	callersPort    = 8080
 	readyPort      = 8081
 	enginePort     = 8090
+	crashRestart   = 3500 * time.Millisecond
 	model          = "m"
 	// Service is the name of the engines' service, Key the key of a caller.
 	Service = "llm"
@@ -38,8 +39,11 @@
 	Events  int // number of events in each response
 	// Domains is the number of failure domains, each in a region of its own; 0 means three.
 	Domains int
-	// OnStart is called when a call begins to run on an engine.
-	OnStart func(call, engine string, weights int64)
+	// OnArrive is called when a call reaches an engine, and OnStart when it begins to run there.
+	OnArrive func(call string)
+	OnStart  func(call, engine string, weights int64)
+	// CrashingParts are parts of prompts that crash the engines.
+	CrashingParts []string
 }
 
 // Fleet is a fleet under test.
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -36,8 +36,14 @@
 	Staged  map[int][]byte
 	// Manifest returns the manifest of a version. A load fails if the staged chunks differ from it.
 	Manifest func(version int64) foxtailwharf.Manifest
+	// OnArrive is called when a call reaches the engine.
+	OnArrive func(call string)
 	// OnStart is called when a call begins to run, with the version that the engine holds.
 	OnStart func(call, engine string, weights int64)
+	// CrashingParts are parts of prompts that crash the engine when it would write the first event. It
+	// starts again after CrashRestart.
+	CrashingParts []string
+	CrashRestart  time.Duration
 }
 
 // SlotEngine is a fake of a model engine that loads staged chunks. It is an http.Handler for
@@ -120,6 +126,9 @@
 // ServeHTTP runs a call and responds with a stream of events, or refuses it with HeaderNotRun.
 func (e *SlotEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderCall, r.Header.Get(HeaderCall))
+	if e.c.OnArrive != nil {
+		e.c.OnArrive(r.Header.Get(HeaderCall))
+	}
 	start, refusal := e.admit(r)
 	if refusal != 0 {
 		w.Header().Set(HeaderNotRun, "1")
@@ -198,6 +207,10 @@
 		case <-ctx.Done():
 			panic(http.ErrAbortHandler)
 		}
+		if e.crashes(r) {
+			e.Crash(e.c.CrashRestart, false)
+			panic(http.ErrAbortHandler)
+		}
 		delay = eventInterval
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", event, r.Header.Get(HeaderCall), event); err != nil {
 			return
@@ -208,6 +221,12 @@
 	}
 }
 
+// crashes reports whether a call has one of the parts that crash the engine.
+func (e *SlotEngine) crashes(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get(HeaderPromptParts), ",")
+	return slices.ContainsFunc(e.c.CrashingParts, func(part string) bool { return slices.Contains(parts, part) })
+}
+
 // State returns the state of the engine. It fails with ErrEngineDown while the engine is down.
 func (e *SlotEngine) State(context.Context, string) (foxtailwharf.EngineState, error) {
 	e.mu.Lock()
