--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -125,6 +126,10 @@
 
 // ServeHTTP runs a call and responds with a stream of events, or refuses it with HeaderNotRun.
 func (e *SlotEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// net/http notices that the caller has left only once the body is read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
 	w.Header().Set(HeaderCall, r.Header.Get(HeaderCall))
 	if e.c.OnArrive != nil {
 		e.c.OnArrive(r.Header.Get(HeaderCall))
