A release never seems older than it is: ages of an answer count from its arrival

What callers saw: refusals from about 5.7 s after a release on, since entries gave up the older weights 1.5 s too early. Cause: the ages in an answer between entries counted from the moment of the question, but the answer may be held for half a second; the entry told agents the earlier time, these told the entry that had answered, and each round made the release half a second older. Class: an error in one direction, fed back into a value of which only the extreme is kept. Evidence: the test, last call on the old weights at 5.70 s, want 7.2 s. Change: ages count from the arrival, so that a time may seem later by the way of the message and never earlier.

--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -144,7 +144,7 @@
 	}
 	state.IsFromSource = isFromSource
 	// Before the releases themselves, which would be noted as named just now.
-	d.mergeAllReleases(asked, answer.Named)
+	d.mergeAllReleases(answer.Named)
 	d.follower.Merge(state)
 	return answer, nil
 }
--- a/internal/process/distributor/releases.go
+++ b/internal/process/distributor/releases.go
@@ -140,15 +140,15 @@
 	return messages
 }
 
-// mergeAllReleases notes the releases of all models in a message that was requested at the time
-// asked.
-func (d *Distributor) mergeAllReleases(asked time.Duration, messages []wire.NamedRelease) {
+// mergeAllReleases notes the releases of all models in a message that has just arrived.
+func (d *Distributor) mergeAllReleases(messages []wire.NamedRelease) {
+	arrived := d.c.Clock()
 	byModel := make(map[string][]wire.NamedRelease)
 	for _, m := range messages {
 		byModel[m.Model] = append(byModel[m.Model], m)
 	}
 	for model, list := range byModel {
-		d.mergeReleases(model, timekeeper.FromWire(asked, list))
+		d.mergeReleases(model, timekeeper.FromWire(arrived, list))
 	}
 }
 
--- a/internal/version/timekeeper/wire.go
+++ b/internal/version/timekeeper/wire.go
@@ -17,11 +17,12 @@
 	return messages
 }
 
-// FromWire converts a message. The time now must be before the message was sent for, so that nothing
-// seems to have been named later than it was.
-func FromWire(now time.Duration, messages []wire.NamedRelease) (list []Named) {
+// FromWire converts a message that arrived at a time. A release may seem to have been named later than
+// it was, by the time that the message took, and never earlier: processes that tell each other ever
+// earlier times would not stop.
+func FromWire(arrived time.Duration, messages []wire.NamedRelease) (list []Named) {
 	for _, m := range messages {
-		list = append(list, Named{Version: m.Version, At: now - time.Duration(m.AgeMillis)*time.Millisecond, IsGuess: m.IsGuess})
+		list = append(list, Named{Version: m.Version, At: arrived - time.Duration(m.AgeMillis)*time.Millisecond, IsGuess: m.IsGuess})
 	}
 	return list
 }
--- a/standin/simulator/release_test.go
+++ b/standin/simulator/release_test.go
@@ -93,3 +93,24 @@
 		}
 	}
 }
+
+// TestReleaseIsNotTakenForOlder guards against processes that tell each other ever earlier times of a
+// release, and give up the weights before it too early.
+func TestReleaseIsNotTakenForOlder(t *testing.T) {
+	t.Parallel()
+	const givenUp = 7200 * time.Millisecond // 0.8 s before the bound
+	run(t, simulator.Config{Entries: 12, Engines: 24, Slots: 8, Events: 8}, 0, func(h *harness) {
+		h.Origin.SetDown(true)
+		releasedAt := time.Now()
+		h.release(2)
+		h.load("chat", 60, switchBound, 500)
+		time.Sleep(switchBound + time.Second)
+		last := time.Duration(0)
+		for _, r := range h.runs {
+			last = max(last, r.startedAt.Sub(releasedAt))
+		}
+		if last < givenUp-100*time.Millisecond || last > switchBound {
+			t.Errorf("last call on the old weights %s after the release, want about %s", last, givenUp)
+		}
+	})
+}
