Engines load in time for a release that was named at an unknown time

What callers saw: one call in ten failed after an outage of the store in which a release was named. Cause: all entries hear of such a release late, count it as named at an unknown time and use the older weights for 2.5 s more; agents went on to spread their loads over the whole time of a switch. Class: two sides of one deadline that count from different times. Change: agents count from the time at which entries give the older weights up.

--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -292,7 +292,7 @@
 	if !isNamed {
 		return 0
 	}
-	return newest.At - first.At
+	return i.p.timekeeper.Due(newest) - i.p.timekeeper.Due(first)
 }
 
 // loadAgeWithin returns this engine's load age between two fractions of the switch time. A release
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -127,7 +127,9 @@
 // wantedRelease is the release that the entries want engines to serve.
 type wantedRelease struct {
 	release foxtailwharf.Release
-	namedAt time.Time // when an entry first heard of the release
+	// namedAt is when an entry first heard of the release, or the time after which the engine has to
+	// switch less the time for a switch, if that time is unknown.
+	namedAt time.Time
 }
 
 // New builds an agent. It does nothing until Start.
@@ -177,13 +179,13 @@
 	if !isNamed {
 		return w
 	}
-	return wantedRelease{release: newest.Release(p.model), namedAt: p.localTime(newest)}
+	return wantedRelease{release: newest.Release(p.model), namedAt: p.localTime(p.timekeeper.Due(newest) - p.c.Settings.Switch)}
 }
 
-// localTime returns when a release was named. The clock that it comes from also advances while the
-// machine is suspended, so that the result must not be kept.
-func (p *Provisioner) localTime(n timekeeper.Named) time.Time {
-	return time.Now().Add(n.At - p.c.Clock())
+// localTime returns a time of the clock that also advances while the machine is suspended, so that the
+// result must not be kept.
+func (p *Provisioner) localTime(at time.Duration) time.Time {
+	return time.Now().Add(at - p.c.Clock())
 }
 
 func (p *Provisioner) allowedDownloads() int {
--- a/standin/simulator/release_test.go
+++ b/standin/simulator/release_test.go
@@ -114,3 +114,27 @@
 		}
 	})
 }
+
+// TestReleaseDuringOutage guards against calls that fail because all entries hear of a release late, do
+// not know when it was named, and give up the older weights before the engines have loaded.
+func TestReleaseDuringOutage(t *testing.T) {
+	t.Parallel()
+	run(t, simulator.Config{Entries: 6, Engines: 9, Slots: 8, Events: 8}, 0, func(h *harness) {
+		for _, e := range h.Entries {
+			h.Store.SetUnavailable(e.Name, true)
+		}
+		time.Sleep(4 * time.Second)
+		h.release(2)
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range h.Entries {
+			h.Store.SetUnavailable(e.Name, false)
+		}
+		time.Sleep(500 * time.Millisecond)
+		h.load("chat", 20, 9*time.Second, 500)
+		time.Sleep(9 * time.Second)
+		h.callers.Wait()
+		if _, served := h.onTime("chat", time.Second); served < 0.98 {
+			t.Errorf("fraction of calls served after the outage: %.3f, want at least 0.98", served)
+		}
+	})
+}
