A message of an older build does not replace a guess, which covers releases that it leaves out

What callers could see, while builds are replaced: calls on replaced weights, as in the incident. Cause: an older build tells of the newest release alone; its exact time replaced what a process that had just started assumed for all releases before. Evidence: the test fails if the new field is ignored (version 1 replaced by an exact time). Change: a message says whether its list is whole; the time in one that is not is a guess. Measured: the test passes; no fleet of mixed builds was run.

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -110,7 +110,7 @@
 		messages := timekeeper.ToWire(now, "", named)
 		newest := messages[len(messages)-1]
 		notice.Release, notice.AgeMillis, notice.IsGuess = newest.Version, newest.AgeMillis, newest.IsGuess
-		notice.Earlier = messages[:len(messages)-1]
+		notice.Earlier, notice.HasEarlier = messages[:len(messages)-1], true
 	}
 	return notice
 }
@@ -222,7 +222,7 @@
 	d.handleEntries(report.Entries)
 	if report.Release > 0 {
 		newest := wire.NamedRelease{Version: report.Release, AgeMillis: report.ReleaseAgeMillis}
-		d.mergeReleases(report.Model, timekeeper.FromWire(arrived, append(report.Earlier, newest)))
+		d.mergeReleases(report.Model, timekeeper.FromList(arrived, newest, report.Earlier, report.HasEarlier))
 	}
 }
 
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -147,7 +147,8 @@
 
 // shortened returns the report without the entries and the release, which rarely change.
 func shortened(report wire.FleetReport) wire.FleetReport {
-	report.Entries, report.Model, report.Release, report.ReleaseAgeMillis, report.Earlier = nil, "", 0, 0, nil
+	report.Entries, report.Model, report.Release, report.ReleaseAgeMillis = nil, "", 0, 0
+	report.Earlier, report.HasEarlier = nil, false
 	return report
 }
 
@@ -258,7 +259,7 @@
 	messages := timekeeper.ToWire(now, "", named)
 	newest := messages[len(messages)-1]
 	report.Model, report.Release, report.ReleaseAgeMillis = p.model, newest.Version, newest.AgeMillis
-	report.Earlier = messages[:len(messages)-1]
+	report.Earlier, report.HasEarlier = messages[:len(messages)-1], true
 }
 
 // updateReleases notes the releases in a notice. p.mu must be held.
@@ -269,7 +270,7 @@
 	p.model = n.Model
 	before, _ := p.timekeeper.Newest(n.Model)
 	newest := wire.NamedRelease{Version: n.Release, AgeMillis: n.AgeMillis, IsGuess: n.IsGuess}
-	p.timekeeper.Merge(arrived, n.Model, timekeeper.FromWire(arrived, append(n.Earlier, newest)))
+	p.timekeeper.Merge(arrived, n.Model, timekeeper.FromList(arrived, newest, n.Earlier, n.HasEarlier))
 	if n.Release > before.Version {
 		p.c.Log.Info("agent: new release wanted", zap.String("Model", n.Model), zap.Int64("Version", n.Release),
 			zap.Int64("AgeMillis", n.AgeMillis), zap.Bool("IsGuess", n.IsGuess))
--- a/internal/version/timekeeper/timekeeper_test.go
+++ b/internal/version/timekeeper/timekeeper_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
+	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
 func init() {
@@ -104,6 +105,24 @@
 	}
 }
 
+// TestMessageOfOlderBuild has a process that started between two releases hear from an older build, which
+// tells of the newest release alone: its time must not replace the guess, which covers the others.
+func TestMessageOfOlderBuild(t *testing.T) {
+	k := newTimekeeper()
+	guess := timekeeper.Named{Version: 3, At: time.Minute, IsGuess: true}
+	k.Add(time.Minute, model, guess)
+	arrived := time.Minute + time.Second
+	k.Merge(arrived, model, timekeeper.FromList(arrived, wire.NamedRelease{Version: 3, AgeMillis: 1200}, nil, false))
+	if first, _ := k.Replacing(model, 1); first != guess {
+		t.Errorf("version 1 is replaced by %+v, want %+v", first, guess)
+	}
+	known := timekeeper.Named{Version: 3, At: arrived - 1200*time.Millisecond}
+	k.Merge(arrived, model, timekeeper.FromList(arrived, wire.NamedRelease{Version: 3, AgeMillis: 1200}, nil, true))
+	if first, _ := k.Replacing(model, 1); first != known {
+		t.Errorf("version 1 is replaced by %+v, want %+v", first, known)
+	}
+}
+
 // process is a process of TestProcessesShareTimes.
 type process struct {
 	*timekeeper.Timekeeper
--- a/internal/version/timekeeper/wire.go
+++ b/internal/version/timekeeper/wire.go
@@ -1,6 +1,7 @@
 package timekeeper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf/wire"
@@ -26,3 +27,12 @@
 	}
 	return list
 }
+
+// FromList converts the newest release in a message that arrived at a time, and those before it. Without
+// hasEarlier the sender may not know of others before the newest, whose time then does not count.
+func FromList(arrived time.Duration, newest wire.NamedRelease, earlier []wire.NamedRelease, hasEarlier bool) []Named {
+	if !hasEarlier {
+		return []Named{{Version: newest.Version, At: arrived, IsGuess: true}}
+	}
+	return FromWire(arrived, append(slices.Clone(earlier), newest))
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -324,6 +324,9 @@
 	// order
 	Earlier []NamedRelease `json:"Earlier,omitempty,omitzero"`
 
+	// Earlier is whole; older builds know of Release alone
+	HasEarlier bool `json:"HasEarlier,omitempty,omitzero"`
+
 	// the entry does not know when the release was named
 	IsGuess bool `json:"IsGuess,omitempty,omitzero"`
 
@@ -400,6 +403,9 @@
 	// entries that the agent hears, by failure domain; left out in most reports
 	Entries []FleetDomain `json:"Entries,omitempty,omitzero"`
 
+	// Earlier is whole; older builds know of Release alone
+	HasEarlier bool `json:"HasEarlier,omitempty,omitzero"`
+
 	// does not answer its agent
 	IsDown bool `json:"IsDown,omitempty,omitzero"`
 
