Calls with a part in their prompts that crashes engines are refused

Cause: the quarantine knows a request by a digest of the whole, so that each such call was a new suspect. Class: a fault attributed by an identity that is too narrow. Change: isolator keeps, for each crash of an engine, the parts of the calls that had not begun to be answered there. A begun answer proves its parts sound. A part that remains after three crashes at different times is banned, the more specific one first if several remain. A broken connection counts once the engine is known to have ended. Entries tell each other crashes and bans; one of each failure domain decides and hears the proofs. Calls with a banned part that wait or have not begun are ended; new ones are refused at once as not run. The test's engines are now listed again after a restart, as on the platform; its bounds are the same.

--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -7,8 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -20,7 +22,7 @@
 const (
 	// warnInterval is the time between two rounds of warnings. An entry that has not received a
 	// ban may keep sending the request to upstreams; the users allow three seconds for that.
-	warnInterval = 300 * time.Millisecond
+	warnInterval = 100 * time.Millisecond
 	// warnTimeout limits the wait for other entries to receive a warning.
 	warnTimeout = 150 * time.Millisecond
 	// maxWarnBans is the number of bans in one warning. Resets of many connections look like
@@ -38,6 +40,7 @@
 	defer close(s.done)
 	for sleeper.Sleep(ctx, warnInterval) {
 		s.d.shareBans(ctx)
+		s.d.shareEvidence(ctx)
 	}
 }
 
@@ -45,34 +48,28 @@
 	return s.done
 }
 
-// banRequest is one warning to one entry.
-type banRequest struct {
-	d    *Distributor
-	to   netip.AddrPort
-	bans []wire.Quarantine
-	done chan struct{}
+// warningRequest is one warning to one entry.
+type warningRequest struct {
+	d       *Distributor
+	to      netip.AddrPort
+	warning wire.FleetWarning
+	done    chan struct{}
 }
 
-func (r *banRequest) run(ctx context.Context) {
+func (r *warningRequest) run(ctx context.Context) {
 	defer close(r.done)
-	if _, err := messenger.Call[wire.FleetWarning](ctx, r.d.client, r.to, methodWarn, wire.FleetWarning{Bans: r.bans}); err != nil {
+	if _, err := messenger.Call[wire.FleetWarning](ctx, r.d.client, r.to, methodWarn, r.warning); err != nil {
 		r.d.c.Log.Debug("entry: another entry did not receive a warning", zap.Stringer("Entry", r.to), zap.Error(err))
 	}
 }
 
-// shareBans sends new bans to all other entries and waits until they have them, for warnTimeout at
-// the most, so that the same request does not crash further upstreams through another entry
-// meanwhile.
-func (d *Distributor) shareBans(ctx context.Context) {
-	bans := quarantiner.ToWire(d.forwarder.TakeUnsentBans(maxWarnBans))
-	if len(bans) == 0 {
-		return
-	}
+// warn sends each of the entries its warning and waits until they have them, for warnTimeout at the most.
+func (d *Distributor) warn(ctx context.Context, warnings map[netip.AddrPort]wire.FleetWarning) {
 	ctx, cancel := context.WithTimeout(ctx, warnTimeout)
 	defer cancel()
-	var requests []*banRequest
-	for _, to := range d.otherEntries() {
-		r := &banRequest{d: d, to: to, bans: bans, done: make(chan struct{})}
+	var requests []*warningRequest
+	for to, warning := range warnings {
+		r := &warningRequest{d: d, to: to, warning: warning, done: make(chan struct{})}
 		requests = append(requests, r)
 		go r.run(ctx)
 	}
@@ -81,10 +78,73 @@
 	}
 }
 
-// handleWarn records the bans of another entry.
+// shareBans sends new bans to all other entries and waits until they have them, so that the same request
+// does not crash further upstreams through another entry meanwhile.
+func (d *Distributor) shareBans(ctx context.Context) {
+	bans := quarantiner.ToWire(d.forwarder.TakeUnsentBans(maxWarnBans))
+	if len(bans) == 0 {
+		return
+	}
+	warnings := make(map[netip.AddrPort]wire.FleetWarning)
+	for _, to := range d.otherEntries() {
+		warnings[to] = wire.FleetWarning{Bans: bans}
+	}
+	d.warn(ctx, warnings)
+}
+
+// shareEvidence sends the other entries what this one has found out about parts of prompts that crash
+// engines. Proofs go only to the entries that decide: there are many of them.
+func (d *Distributor) shareEvidence(ctx context.Context) {
+	deciding, isDeciding := d.decidingEntries()
+	warning := isolator.ToWire(d.forwarder.Isolate(isDeciding))
+	warnings := make(map[netip.AddrPort]wire.FleetWarning)
+	if len(warning.Proofs) > 0 {
+		for _, to := range deciding {
+			warnings[to] = warning
+		}
+	}
+	if len(warning.Crashes)+len(warning.PartBans) > 0 {
+		rest := wire.FleetWarning{Crashes: warning.Crashes, PartBans: warning.PartBans}
+		for _, to := range d.otherEntries() {
+			if _, isDeciding := warnings[to]; !isDeciding {
+				warnings[to] = rest
+			}
+		}
+	}
+	if len(warnings) > 0 {
+		d.warn(ctx, warnings)
+	}
+}
+
+// decidingEntries returns the other entries that decide on bans of parts of prompts, and whether this one
+// does. One of each failure domain decides, so that a domain that is cut off still has one.
+func (d *Distributor) decidingEntries() (others []netip.AddrPort, isDeciding bool) {
+	const key = "decides on bans"
+	self := d.c.Settings.PeerAddress(d.c.Settings.Address)
+	first := map[string]netip.AddrPort{d.c.Settings.FailureDomain: self}
+	d.mu.Lock()
+	for address, e := range d.entries {
+		known, isKnown := first[e.domain]
+		if !isKnown || foxtailwharf.RendezvousScore(key, address.String()) > foxtailwharf.RendezvousScore(key, known.String()) {
+			first[e.domain] = address
+		}
+	}
+	d.mu.Unlock()
+	for _, address := range first {
+		if address == self {
+			isDeciding = true
+		} else {
+			others = append(others, address)
+		}
+	}
+	return others, isDeciding
+}
+
+// handleWarn records the bans and the evidence of another entry.
 func (d *Distributor) handleWarn(_ context.Context, warning wire.FleetWarning) (wire.FleetWarning, error) {
 	for _, ban := range quarantiner.FromWire(warning.Bans) {
 		d.forwarder.MergeBan(ban)
 	}
+	d.forwarder.MergeEvidence(isolator.FromWire(warning))
 	return wire.FleetWarning{}, nil
 }
--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -12,6 +12,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
@@ -145,6 +146,7 @@
 	state.IsFromSource = isFromSource
 	// Before the releases themselves, which would be noted as named just now.
 	d.mergeAllReleases(answer.Named)
+	d.forwarder.MergeEvidence(isolator.Evidence{Bans: isolator.BansFromWire(answer.PartBans)})
 	d.follower.Merge(state)
 	return answer, nil
 }
@@ -205,6 +207,7 @@
 		}
 	}
 	answer.Named = d.allNamedReleases()
+	answer.PartBans = isolator.BansToWire(d.forwarder.PartBans())
 	answer.Releases, err = pack(v.Releases)
 	return answer, err
 }
--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -114,8 +114,8 @@
 	}
 	x.call.Body = data
 	x.digest = foxtailwharf.Digest([]byte(x.service.Name + "\n" + x.account + "\n" + x.call.Method + "\n" + x.call.Target + "\n" + string(data)))
-	if remaining := x.f.quarantinedFor(x.digest); remaining > 0 {
-		return notRunRetryAfter(foxtailwharf.ReasonQuarantined, "identical requests crashed the upstreams that ran them", remaining)
+	if remaining := x.f.quarantinedFor(x.digest, x.call.PromptParts); remaining > 0 {
+		return quarantined(remaining)
 	}
 	return nil
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -177,6 +177,9 @@
 	var failure *requester.Error
 	isEnded := errors.Is(context.Cause(ctx), errUpstreamEnded) || (ctx.Err() == nil && errors.As(err, &failure) && failure.IsBroken)
 	if isEnded && !a.x.f.c.Assigner.IsLoading(a.upstream) {
+		if len(a.x.call.PromptParts) > 0 && !a.hasEvent.Load() {
+			a.x.f.suspectCrash(a.upstream, a.x.call.PromptParts)
+		}
 		a.x.f.recordCrash(context.WithoutCancel(ctx), a.upstream, a.x.digest)
 	}
 	if errors.Is(context.Cause(ctx), errStalled) {
@@ -228,10 +231,20 @@
 	if isServerError {
 		return delivered, balancer.Failed
 	}
+	a.begin()
 	a.x.f.clearSuspicion(a.x.digest)
 	return delivered, balancer.Answered
 }
 
+// begin records the first part of the answer: the call has begun, and its prompt crashes no upstream.
+func (a *attempt) begin() {
+	if a.hasEvent.Swap(true) || len(a.x.call.PromptParts) == 0 {
+		return
+	}
+	a.x.f.removePending(a.x)
+	a.x.f.recordBegin(a.x.call.PromptParts)
+}
+
 // isNotRunStatus reports whether callers take a status as a promise that the call has not run and
 // will not. Such a status of an upstream that may have run the call is not forwarded.
 func isNotRunStatus(status int) bool {
@@ -260,7 +273,7 @@
 			return a.handleBroken(ctx, err)
 		}
 		if event.HasData {
-			a.hasEvent.Store(true)
+			a.begin()
 			a.resetStallTimer()
 		}
 		if weights, hasWeights := x.f.c.Dialect.EventWeights(event.Text); hasWeights {
--- /dev/null
+++ b/internal/request/forwarder/crashes.go
@@ -0,0 +1,172 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
+)
+
+// confirmTime is how long a broken connection to an engine may stay unexplained before it counts as no
+// crash. The engine's agent reports a crash within some tenths of a second.
+const confirmTime = 1500 * time.Millisecond
+
+// errQuarantined is the cause with which a call is cancelled that has a banned part in its prompt and has
+// not begun to be answered.
+var errQuarantined = errors.New("a part of the prompt crashes upstreams")
+
+// suspectedCrash is a broken connection to an engine under a call that had not begun to be answered. It
+// counts as a crash once the engine is known to have ended.
+type suspectedCrash struct {
+	upstream foxtailwharf.Upstream
+	at       time.Time
+	parts    []string
+}
+
+// incarnation identifies one process of an upstream.
+func incarnation(u foxtailwharf.Upstream) string {
+	return u.ID + "@" + u.Born.String()
+}
+
+// TakeUnsentBans returns up to limit bans and suspicions found by this entry that the others
+// have not been sent.
+func (f *Forwarder) TakeUnsentBans(limit int) []quarantiner.Ban {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quarantine.TakeUnsentBans(time.Now(), limit)
+}
+
+// MergeBan merges a ban received from another entry.
+func (f *Forwarder) MergeBan(ban quarantiner.Ban) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.quarantine.Merge(time.Now(), ban)
+}
+
+// recordCrash records that an upstream ended with a call in flight. Other entries are told at the
+// next interval. If the request has crashed an upstream before, they are told at once, before the
+// call is retried.
+func (f *Forwarder) recordCrash(ctx context.Context, upstream foxtailwharf.Upstream, digest string) {
+	f.mu.Lock()
+	f.quarantine.RecordCrash(time.Now(), incarnation(upstream), digest)
+	isRepeated := len(f.quarantine.CrashedUpstreams(digest)) > 1
+	f.mu.Unlock()
+	if isRepeated {
+		f.c.ShareBans(ctx)
+	}
+}
+
+// clearSuspicion removes the evidence against a request that got a complete answer.
+func (f *Forwarder) clearSuspicion(digest string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.quarantine.Clear(digest)
+}
+
+// quarantinedFor returns how much longer a request is banned, because it crashes upstreams itself or
+// has a part in its prompt that does; 0 if it is not.
+func (f *Forwarder) quarantinedFor(digest string, parts []string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	return max(f.quarantine.BanRemaining(now, digest), f.isolator.BanRemaining(now, parts))
+}
+
+// suspectCrash records a broken connection to an engine under a call that had not begun to be answered.
+func (f *Forwarder) suspectCrash(upstream foxtailwharf.Upstream, parts []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspected = append(f.suspected, suspectedCrash{upstream: upstream, at: time.Now(), parts: parts})
+}
+
+// recordBegin records that a call began to be answered, so that the parts of its prompt crash no engine.
+func (f *Forwarder) recordBegin(parts []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isolator.RecordBegin(time.Now(), parts)
+}
+
+// Isolate weighs the evidence on parts of prompts that crash engines: it confirms crashes and, if this
+// entry decides, bans parts. It returns what other entries have to know.
+func (f *Forwarder) Isolate(isDeciding bool) isolator.Evidence {
+	now := time.Now()
+	f.mu.Lock()
+	suspected := f.suspected
+	f.suspected = nil
+	f.mu.Unlock()
+	var crashes, open []suspectedCrash
+	for _, s := range suspected {
+		switch {
+		case f.c.Assigner.IsLost(s.upstream):
+			crashes = append(crashes, s)
+		case now.Sub(s.at) < confirmTime:
+			open = append(open, s)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspected = append(open, f.suspected...)
+	for _, s := range crashes {
+		f.isolator.RecordCrash(s.at, incarnation(s.upstream), s.parts)
+		f.c.Log.Info("quarantine: engine crashed under a call that had not begun", zap.String("Upstream", s.upstream.ID), zap.Strings("PromptParts", s.parts))
+	}
+	if isDeciding {
+		f.enforce(f.isolator.Decide(now))
+	}
+	return f.isolator.TakeUnsent(now)
+}
+
+// MergeEvidence merges what another entry knows of parts of prompts that crash engines.
+func (f *Forwarder) MergeEvidence(e isolator.Evidence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.enforce(f.isolator.Merge(time.Now(), e))
+}
+
+// PartBans returns the bans of parts of prompts.
+func (f *Forwarder) PartBans() []isolator.Ban {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isolator.Bans(time.Now())
+}
+
+// enforce ends the calls with a newly banned part that have not begun to be answered. The lock must be
+// held.
+func (f *Forwarder) enforce(banned []isolator.Ban) {
+	for _, b := range banned {
+		ended := 0
+		for x := range f.pending {
+			if slices.Contains(x.call.PromptParts, b.Part) {
+				x.cancel(errQuarantined)
+				ended++
+			}
+		}
+		f.c.Log.Warn("quarantine: calls with a part in their prompts are refused, since it crashes engines", zap.String("PromptPart", b.Part),
+			zap.Duration("SinceCrash", b.Age), zap.Duration("Remaining", b.Remaining), zap.Int("Ended", ended))
+	}
+}
+
+// addPending registers a call that has not begun to be answered. It returns how much longer a part of its
+// prompt is banned; 0 if none is.
+func (f *Forwarder) addPending(x *exchange) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if remaining := f.isolator.BanRemaining(time.Now(), x.call.PromptParts); remaining > 0 {
+		return remaining
+	}
+	f.pending[x] = true
+	return 0
+}
+
+// removePending removes a call that has begun to be answered or has ended.
+func (f *Forwarder) removePending(x *exchange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.pending, x)
+}
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -44,6 +44,7 @@
 	account  string
 	rank     queuer.Rank
 	digest   string
+	cancel   context.CancelCauseFunc
 
 	excluded    map[string]bool
 	runs        int  // attempts that may have run
@@ -92,6 +93,13 @@
 // or the call may not be retried, it ends the call with finish.
 func (x *exchange) run(ctx context.Context) {
 	defer x.release()
+	if len(x.call.PromptParts) > 0 {
+		if remaining := x.f.addPending(x); remaining > 0 {
+			x.refuse(quarantined(remaining))
+			return
+		}
+		defer x.f.removePending(x)
+	}
 	x.f.first(x.service.Name)
 	for {
 		u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest())
@@ -149,7 +157,7 @@
 }
 
 func (x *exchange) mayRetryAfterRun() bool {
-	return x.route.IsRepeatable() && x.runs < x.route.Attempts && x.f.quarantinedFor(x.digest) == 0
+	return x.route.IsRepeatable() && x.runs < x.route.Attempts && x.f.quarantinedFor(x.digest, x.call.PromptParts) == 0
 }
 
 // assignerRequest describes the call to the assigner.
@@ -236,6 +244,8 @@
 		x.refuse(foxtailwharf.OutcomeUnknown(x.unknownReason(ctx), "the call may have run, and its outcome is unknown"))
 	case x.isUnknown:
 		x.refuse(foxtailwharf.OutcomeUnknown(x.unknownReason(ctx), "no upstream sent a complete answer"))
+	case errors.Is(context.Cause(ctx), errQuarantined):
+		x.refuse(quarantined(x.f.quarantinedFor(x.digest, x.call.PromptParts)))
 	case refusal != nil:
 		x.refuse(refusal)
 	default:
@@ -243,6 +253,11 @@
 	}
 }
 
+// quarantined returns the refusal of a call that would crash the upstream.
+func quarantined(remaining time.Duration) *foxtailwharf.Refusal {
+	return notRunRetryAfter(foxtailwharf.ReasonQuarantined, "requests like this one crashed the upstreams that ran them", remaining)
+}
+
 func (x *exchange) unknownReason(ctx context.Context) foxtailwharf.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return foxtailwharf.ReasonDeadline
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/matcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/retrylimiter"
@@ -57,6 +58,9 @@
 	retries    *retrylimiter.Limiter
 	returner   *returner.Returner
 	quarantine *quarantiner.Quarantiner
+	isolator   *isolator.Isolator
+	suspected  []suspectedCrash
+	pending    map[*exchange]bool // calls with shared prompt parts that have not begun to be answered
 	random     *rand.Rand
 }
 
@@ -84,6 +88,8 @@
 		collector:  collector.New(collector.Config{MaxAnswer: maxAnswerBytes, MaxTotal: maxAnswersBytes, Unshared: unsharedAnswerBytes}),
 		retries:    retrylimiter.New(c.RetryBudget, time.Now()),
 		quarantine: quarantiner.New(quarantiner.Config{CrashesToBan: crashesToBan}),
+		isolator:   isolator.New(isolator.Config{}),
+		pending:    make(map[*exchange]bool),
 		returner:   returner.New(c.Random),
 		random:     c.Random,
 	}
@@ -151,21 +157,6 @@
 	return (s.Configuration.Keys == nil || f.isFresh(s)) && len(s.Upstreams) > 0
 }
 
-// TakeUnsentBans returns up to limit bans and suspicions found by this entry that the others
-// have not been sent.
-func (f *Forwarder) TakeUnsentBans(limit int) []quarantiner.Ban {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.quarantine.TakeUnsentBans(time.Now(), limit)
-}
-
-// MergeBan merges a ban received from another entry.
-func (f *Forwarder) MergeBan(ban quarantiner.Ban) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.quarantine.Merge(time.Now(), ban)
-}
-
 // ServeHTTP answers one call.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
@@ -180,6 +171,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	ctx, x.cancel = context.WithCancelCause(ctx)
+	defer x.cancel(nil)
 	x.run(ctx)
 }
 
@@ -203,30 +196,3 @@
 	defer f.mu.Unlock()
 	return f.random.Float64()
 }
-
-// recordCrash records that an upstream ended with a call in flight. Other entries are told at the
-// next interval. If the request has crashed an upstream before, they are told at once, before the
-// call is retried.
-func (f *Forwarder) recordCrash(ctx context.Context, upstream foxtailwharf.Upstream, digest string) {
-	f.mu.Lock()
-	f.quarantine.RecordCrash(time.Now(), upstream.ID+"@"+upstream.Born.String(), digest)
-	isRepeated := len(f.quarantine.CrashedUpstreams(digest)) > 1
-	f.mu.Unlock()
-	if isRepeated {
-		f.c.ShareBans(ctx)
-	}
-}
-
-// clearSuspicion removes the evidence against a request that got a complete answer.
-func (f *Forwarder) clearSuspicion(digest string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.quarantine.Clear(digest)
-}
-
-// quarantinedFor returns how much longer a request is banned; 0 if it is not.
-func (f *Forwarder) quarantinedFor(digest string) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.quarantine.BanRemaining(time.Now(), digest)
-}
--- /dev/null
+++ b/internal/request/isolator/isolator_test.go
@@ -0,0 +1,181 @@
+package isolator_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func banned(i *isolator.Isolator, now time.Time) (parts []string) {
+	for _, b := range i.Bans(now) {
+		parts = append(parts, b.Part)
+	}
+	return parts
+}
+
+func TestDecide(t *testing.T) {
+	// crash is a crash of an engine under some calls, begin an answer that began.
+	type crash struct {
+		at       float64
+		upstream string
+		parts    []string
+	}
+	type begin struct {
+		at    float64
+		parts []string
+	}
+	parts := func(names ...string) []string { return names }
+	tests := []struct {
+		name    string
+		begins  []begin
+		crashes []crash
+		at      float64
+		want    []string
+	}{
+		{"the only part in common", nil, []crash{{1, "a", parts("f1", "bad")}, {2, "b", parts("f2", "bad")}, {3, "c", parts("f3", "bad")}}, 4, parts("bad")},
+		{"too few crashes", nil, []crash{{1, "a", parts("f", "bad")}, {2, "b", parts("f", "bad")}}, 4, nil},
+		{"the last crash is too recent", nil, []crash{{1, "a", parts("bad")}, {2, "b", parts("bad")}, {3, "c", parts("bad")}}, 3.1, nil},
+		{"a part that began once", []begin{{0.5, parts("first", "x")}}, []crash{{1, "a", parts("first", "bad")}, {2, "b", parts("first", "bad")}, {3, "c", parts("first", "bad")}}, 4, parts("bad")},
+		{"two parts that always crash: the more specific", nil, []crash{{1, "a", parts("first", "bad")}, {2, "b", parts("first", "bad")}, {3, "c", parts("first", "bad")}}, 4, parts("bad")},
+		{"a part that began between the crashes", []begin{{2.5, parts("first", "y")}}, []crash{{1, "a", parts("first", "x")}, {2, "b", parts("first", "y")}, {3, "c", parts("first", "z")}}, 4, nil},
+		{"crashes at once", nil, []crash{{1, "a", parts("f")}, {1.01, "b", parts("f")}, {1.02, "c", parts("f")}, {1.03, "d", parts("f")}, {1.04, "e", parts("f")}}, 4, nil},
+		{"few among many crashes", nil, []crash{
+			{1, "a", parts("f")}, {1.2, "b", parts("g")}, {1.4, "c", parts("h")}, {1.6, "d", parts("f")}, {1.8, "e", parts("g")}, {2, "f", parts("h")}, {2.2, "g", parts("f")},
+		}, 4, nil},
+		{"five among many crashes", nil, []crash{
+			{1, "a", parts("f")}, {1.2, "b", parts("g")}, {1.3, "c", parts("h")}, {1.5, "d", parts("f")}, {1.7, "e", parts("k")}, {1.8, "f", parts("h")},
+			{2, "g", parts("f")}, {2.1, "h", parts("l")}, {2.2, "i", parts("m")}, {2.4, "j", parts("f")}, {2.6, "k", parts("n")}, {2.8, "l", parts("f")},
+		}, 4, parts("f")},
+		{"one engine that crashes again and again", nil, []crash{{1, "a", parts("f")}, {2, "a", parts("f")}, {3, "a", parts("f")}}, 4, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			i := isolator.New(isolator.Config{})
+			for _, b := range tt.begins {
+				i.RecordBegin(at(b.at), b.parts)
+			}
+			for _, c := range tt.crashes {
+				i.RecordCrash(at(c.at), c.upstream, c.parts)
+			}
+			i.Decide(at(tt.at))
+			if have := banned(i, at(tt.at)); !slices.Equal(have, tt.want) {
+				t.Errorf("have %v banned, want %v", have, tt.want)
+			}
+		})
+	}
+}
+
+// crashUnder records a crash of a new engine under a call with these parts for each time.
+func crashUnder(i *isolator.Isolator, parts []string, seconds ...float64) {
+	for _, s := range seconds {
+		i.RecordCrash(at(s), fmt.Sprintf("engine@%v", s), parts)
+	}
+}
+
+// TestTwoBadParts has a second part crash engines after the first was banned, and a less specific one
+// after a wrong ban.
+func TestTwoBadParts(t *testing.T) {
+	i := isolator.New(isolator.Config{})
+	crashUnder(i, []string{"first", "bad"}, 1, 2, 3)
+	i.Decide(at(4))
+	crashUnder(i, []string{"first", "worse"}, 5, 6, 7)
+	i.Decide(at(8))
+	if have, want := banned(i, at(8)), []string{"bad", "worse"}; !slices.Equal(have, want) {
+		t.Fatalf("have %v banned, want %v", have, want)
+	}
+	for n, s := range []float64{9, 10, 11} {
+		crashUnder(i, []string{"first", fmt.Sprint("rare-", n)}, s)
+	}
+	i.Decide(at(12))
+	if have, want := banned(i, at(12)), []string{"bad", "first", "worse"}; !slices.Equal(have, want) {
+		t.Errorf("have %v banned, want %v", have, want)
+	}
+}
+
+func TestBanEnds(t *testing.T) {
+	i := isolator.New(isolator.Config{BanTime: time.Minute})
+	crashUnder(i, []string{"bad"}, 1, 2, 3)
+	i.Decide(at(4))
+	if have := i.BanRemaining(at(34), []string{"x", "bad"}); have != 30*time.Second {
+		t.Errorf("ban remains for %s, want 30 s", have)
+	}
+	// A call that was sent before the ban crashes another engine.
+	crashUnder(i, []string{"bad"}, 24)
+	if have := i.BanRemaining(at(34), []string{"bad"}); have != 50*time.Second {
+		t.Errorf("after another crash the ban remains for %s, want 50 s", have)
+	}
+	i.RecordBegin(at(35), []string{"bad"})
+	if have := i.BanRemaining(at(35), []string{"bad"}); have != 0 {
+		t.Errorf("ban of a part that is sound remains for %s", have)
+	}
+}
+
+// TestEntriesShareEvidence has two entries see a part of the crashes each, and a third one that decides.
+func TestEntriesShareEvidence(t *testing.T) {
+	a, b, judge := isolator.New(isolator.Config{}), isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
+	crashUnder(a, []string{"first", "bad"}, 1, 3)
+	crashUnder(b, []string{"first", "bad"}, 2)
+	// At the same crash the other entry had a sound call.
+	crashUnder(b, []string{"first", "sound"}, 3)
+	b.Merge(at(3.1), a.TakeUnsent(at(3.1)))
+	b.RecordBegin(at(3.2), []string{"first", "sound"})
+	for _, i := range []*isolator.Isolator{a, b} {
+		judge.Merge(at(3.2), isolator.Evidence{Crashes: i.TakeUnsent(at(3.2)).Crashes})
+	}
+	crashUnder(a, []string{"first", "bad"}, 1, 3)
+	judge.Merge(at(3.3), a.TakeUnsent(at(3.3)))
+	if bans := judge.Decide(at(4)); len(bans) != 1 || bans[0].Part != "bad" {
+		t.Fatalf("bans %v, want one of bad", bans)
+	}
+	verdict := judge.TakeUnsent(at(4))
+	if len(verdict.Crashes)+len(verdict.Proofs) != 0 || len(verdict.Bans) != 1 {
+		t.Errorf("the judge tells %+v, want the ban alone", verdict)
+	}
+	if again := judge.TakeUnsent(at(4)); len(again.Bans) != 0 {
+		t.Errorf("the judge tells %+v twice", again)
+	}
+	for _, i := range []*isolator.Isolator{a, b} {
+		if news := i.Merge(at(4.1), verdict); len(news) != 1 || i.BanRemaining(at(4.1), []string{"bad"}) == 0 {
+			t.Errorf("%v new at an entry, want the ban", news)
+		}
+	}
+}
+
+// TestProofEndsBan has an entry know better than the one that decided.
+func TestProofEndsBan(t *testing.T) {
+	judge, entry := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
+	crashUnder(judge, []string{"part"}, 1, 2, 3)
+	judge.Decide(at(4))
+	entry.RecordBegin(at(3.5), []string{"part"})
+	entry.Merge(at(4), judge.TakeUnsent(at(4)))
+	if entry.BanRemaining(at(4), []string{"part"}) != 0 {
+		t.Error("an entry that has proved the part sound accepts the ban")
+	}
+	judge.Merge(at(4.2), entry.TakeUnsent(at(4.2)))
+	if judge.BanRemaining(at(4.2), []string{"part"}) != 0 {
+		t.Error("the ban outlasts the proof")
+	}
+}
+
+func TestWire(t *testing.T) {
+	i := isolator.New(isolator.Config{})
+	crashUnder(i, []string{"first", "bad"}, 1, 2, 3)
+	i.Decide(at(4))
+	crashUnder(i, []string{"other"}, 4)
+	i.RecordBegin(at(4.5), []string{"bad"})
+	e := i.TakeUnsent(at(5))
+	other := isolator.New(isolator.Config{})
+	other.Merge(at(5), isolator.FromWire(isolator.ToWire(e)))
+	if !other.IsSuspect("other") || len(e.Proofs) != 1 || e.Proofs[0].Part != "bad" {
+		t.Errorf("the other entry does not know of the crash, or the proof is missing: %+v", e)
+	}
+}
--- a/standin/simulator/crash_test.go
+++ b/standin/simulator/crash_test.go
@@ -78,6 +78,18 @@
 	l.arrived[call] = append(l.arrived[call], time.Now())
 }
 
+// crashes counts the bad calls that began at an engine.
+func (l *crashLoad) crashes() (count int) {
+	l.h.mu.Lock()
+	defer l.h.mu.Unlock()
+	for _, r := range l.h.runs {
+		if l.isBad[r.call] {
+			count++
+		}
+	}
+	return count
+}
+
 // lateArrivals counts the bad calls that reached engines after a time.
 func (l *crashLoad) lateArrivals(after time.Time) (count int) {
 	l.mu.Lock()
@@ -123,18 +135,34 @@
 		end := time.Now().Add(length)
 		l.run(1, 40, end, "")
 		l.run(2, 3, end, "bad")
-		time.Sleep(length)
+		h.listRestarted(end)
 		h.callers.Wait()
 		known := l.fifthCrash()
 		if late := l.lateArrivals(known.Add(contactBound)); late > lateCalls {
 			t.Errorf("%d calls with the bad part reached engines later than %s after the fifth crash, want at most %d", late, contactBound, lateCalls)
 		}
+		t.Logf("bad calls after the fifth crash and the bound: %d; crashes: %d; sound calls served in all: %.2f", l.lateArrivals(known.Add(contactBound)), l.crashes(), l.served(time.Time{}))
 		if served := l.served(known.Add(2 * contactBound)); served < minSound {
 			t.Errorf("fraction of sound calls served: %.2f, want at least %.2f", served, minSound)
 		}
 	})
 }
 
+// listRestarted lists engines that have started anew, as engines do themselves on the platform, until the
+// end.
+func (h *harness) listRestarted(end time.Time) {
+	born := make(map[string]time.Time)
+	for time.Now().Before(end) {
+		for _, e := range h.Engines {
+			if u := e.Upstream(); !u.Born.Equal(born[u.ID]) {
+				born[u.ID] = u.Born
+				e.PutUpstream()
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 // fifthCrash returns when the fifth call that crashed an engine began there, or the last one if they
 // were fewer.
 func (l *crashLoad) fifthCrash() (at time.Time) {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -269,6 +269,9 @@
 	// of each model in ascending order
 	Named []NamedRelease `json:"Named,omitempty,omitzero"`
 
+	// all bans of parts of prompts that the entry knows
+	PartBans []PartBan `json:"PartBans,omitempty,omitzero"`
+
 	// the answering process, and Sequence its place in the changes of its list
 	Process uint64 `json:"Process,omitempty,omitzero"`
 
@@ -454,6 +457,15 @@
 type FleetWarning struct {
 	// Bans corresponds to the JSON schema field "Bans".
 	Bans []Quarantine `json:"Bans,omitempty,omitzero"`
+
+	// Crashes corresponds to the JSON schema field "Crashes".
+	Crashes []PartCrash `json:"Crashes,omitempty,omitzero"`
+
+	// PartBans corresponds to the JSON schema field "PartBans".
+	PartBans []PartBan `json:"PartBans,omitempty,omitzero"`
+
+	// Proofs corresponds to the JSON schema field "Proofs".
+	Proofs []PartProof `json:"Proofs,omitempty,omitzero"`
 }
 
 // Have tells a neighbour which chunks of a version the sender can upload.
@@ -556,6 +568,50 @@
 	Version string `json:"Version"`
 }
 
+// PartBan bans calls with a part in their prompts that crashes upstreams.
+type PartBan struct {
+	// time since the newest crash that is held against the part
+	AgeMillis int64 `json:"AgeMillis"`
+
+	// Part corresponds to the JSON schema field "Part".
+	Part string `json:"Part"`
+
+	// RemainingMillis corresponds to the JSON schema field "RemainingMillis".
+	RemainingMillis int64 `json:"RemainingMillis"`
+}
+
+// PartCrash is a crash of an upstream, with the parts of the prompts of the
+// entry's calls that had not begun to be answered there.
+type PartCrash struct {
+	// AgeMillis corresponds to the JSON schema field "AgeMillis".
+	AgeMillis int64 `json:"AgeMillis"`
+
+	// Suspects corresponds to the JSON schema field "Suspects".
+	Suspects []PartSuspect `json:"Suspects,omitempty,omitzero"`
+
+	// incarnation that crashed
+	Upstream string `json:"Upstream"`
+}
+
+// PartProof says that a call with a part in its prompt began to be answered, so
+// that the part does not crash upstreams.
+type PartProof struct {
+	// AgeMillis corresponds to the JSON schema field "AgeMillis".
+	AgeMillis int64 `json:"AgeMillis"`
+
+	// Part corresponds to the JSON schema field "Part".
+	Part string `json:"Part"`
+}
+
+// PartSuspect is a part of a prompt and its place there, 0 for the first.
+type PartSuspect struct {
+	// Depth corresponds to the JSON schema field "Depth".
+	Depth int `json:"Depth,omitempty,omitzero"`
+
+	// Part corresponds to the JSON schema field "Part".
+	Part string `json:"Part"`
+}
+
 // Quarantine is what an entry holds against a request digest: the upstreams that
 // died with it, and for how long it is still barred, if it is.
 type Quarantine struct {
