Entries that tell each other a ban no longer renew it

What callers could see: a request refused for longer than its ban. Cause: the rest of a ban counts from the arrival of the message, so that each exchange made the ban longer by the time that the message took. Class: an error in one direction, fed back into a value of which only the extreme is kept. Evidence: the test of the quarantine, in which a ban of a minute remains for 16.6 s two seconds after its end with messages that take 0.3 s. Change: differences up to a second are not news. Measured: both tests pass.

--- a/internal/request/isolator/evidence.go
+++ b/internal/request/isolator/evidence.go
@@ -86,6 +86,10 @@
 	return Ban{Part: part, Age: now.Sub(b.crashedAt), Remaining: b.until.Sub(now)}
 }
 
+// sameCrash is how much the time of a crash may differ between two entries, because of the time that
+// messages take. Entries that took each other's differences for news would renew their bans for ever.
+const sameCrash = time.Second
+
 // Merge adds the evidence of another entry. It returns the bans that are new here.
 func (i *Isolator) Merge(now time.Time, e Evidence) (banned []Ban) {
 	for _, p := range e.Proofs {
@@ -124,18 +128,16 @@
 		i.unsent.proofs[b.Part] = true
 		return false
 	}
-	until := now.Add(min(b.Remaining, i.c.BanTime))
-	known := i.bans[b.Part]
-	if known == nil {
-		i.bans[b.Part] = &ban{until: until, crashedAt: crashedAt}
-		i.explain(b.Part)
-		return true
-	}
-	if crashedAt.After(known.crashedAt) {
-		known.crashedAt = crashedAt
+	if known := i.bans[b.Part]; known != nil {
+		if crashedAt.Sub(known.crashedAt) > sameCrash {
+			known.crashedAt, known.until = crashedAt, crashedAt.Add(i.c.BanTime)
+		}
+		return false
 	}
-	if until.After(known.until) {
-		known.until = until
+	if b.Remaining <= 0 {
+		return false
 	}
-	return false
+	i.bans[b.Part] = &ban{until: now.Add(min(b.Remaining, i.c.BanTime)), crashedAt: crashedAt}
+	i.explain(b.Part)
+	return true
 }
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -179,3 +179,20 @@
 		t.Errorf("the other entry does not know of the crash, or the proof is missing: %+v", e)
 	}
 }
+
+// TestBansAreNotRenewed has two entries tell each other a ban again and again, by messages that take
+// some time.
+func TestBansAreNotRenewed(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	a, b := isolator.New(isolator.Config{BanTime: time.Minute}), isolator.New(isolator.Config{BanTime: time.Minute})
+	crashUnder(a, []string{"bad"}, 1, 2, 3)
+	a.Decide(at(4))
+	for now := at(4); now.Before(at(120)); now = now.Add(time.Second) {
+		toB, toA := isolator.Evidence{Bans: a.Bans(now)}, isolator.Evidence{Bans: b.Bans(now)}
+		b.Merge(now.Add(delay), toB)
+		a.Merge(now.Add(delay), toA)
+	}
+	if have := max(a.BanRemaining(at(66), []string{"bad"}), b.BanRemaining(at(66), []string{"bad"})); have > 0 {
+		t.Errorf("2 s after its end the ban remains for %s", have)
+	}
+}
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -235,6 +235,10 @@
 	return Ban{Digest: digest, Upstreams: q.CrashedUpstreams(digest), Age: q.age(now, digest), Remaining: q.BanRemaining(now, digest)}
 }
 
+// sameBan is how much the end of a ban may differ between two entries, because of the time that messages
+// take. Entries that took each other's differences for news would renew their bans for ever.
+const sameBan = time.Second
+
 // Merge merges the evidence of another entry. Entries exchange ages and remaining times instead of
 // timestamps, so that clocks are never compared and everything expires at all entries.
 func (q *Quarantiner) Merge(now time.Time, ban Ban) {
@@ -249,7 +253,7 @@
 	}
 	remaining := min(ban.Remaining, q.c.Time)
 	until := now.Add(remaining)
-	if remaining > 0 && len(q.bannedUntil) < q.c.MaxSuspects && until.After(q.bannedUntil[ban.Digest]) {
+	if remaining > 0 && len(q.bannedUntil) < q.c.MaxSuspects && until.Sub(q.bannedUntil[ban.Digest]) > sameBan {
 		q.bannedUntil[ban.Digest] = until
 	}
 }
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -168,3 +168,26 @@
 		t.Errorf("%d requests are suspects after a mass failure, want none", len(bans))
 	}
 }
+
+// TestBansAreNotRenewed has two entries tell each other a ban again and again, by messages that take
+// some time.
+func TestBansAreNotRenewed(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	now := time.Unix(0, 0)
+	a, b := quarantiner.New(quarantiner.Config{Time: time.Minute}), quarantiner.New(quarantiner.Config{Time: time.Minute})
+	a.RecordCrash(now, "1", "crasher")
+	a.RecordCrash(now, "2", "crasher")
+	end := now.Add(62 * time.Second)
+	for ; now.Before(end); now = now.Add(time.Second) {
+		toB, toA := a.Bans(now), b.Bans(now)
+		for _, ban := range toB {
+			b.Merge(now.Add(delay), ban)
+		}
+		for _, ban := range toA {
+			a.Merge(now.Add(delay), ban)
+		}
+	}
+	if have := max(a.BanRemaining(end, "crasher"), b.BanRemaining(end, "crasher")); have > 0 {
+		t.Errorf("2 s after its end the ban remains for %s", have)
+	}
+}
