Entries that start anew or were cut off are told the bans in force

What callers saw: a request, or a part of prompts, that is banned crashed two more engines through each entry that had started anew or was cut off when it was banned.

--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -23,6 +23,9 @@
 	// warnInterval is the time between two rounds of warnings. An entry that has not received a
 	// ban may keep sending the request to upstreams; the users allow three seconds for that.
 	warnInterval = 100 * time.Millisecond
+	// resendInterval is the time between two rounds in which the deciding entries send all bans, for
+	// entries that have started anew or were cut off.
+	resendInterval = time.Second
 	// warnTimeout limits the wait for other entries to receive a warning.
 	warnTimeout = 150 * time.Millisecond
 	// maxWarnBans is the number of bans in one warning. Resets of many connections look like
@@ -32,8 +35,9 @@
 
 // banSender sends this entry's new bans to the other entries.
 type banSender struct {
-	d    *Distributor
-	done chan struct{}
+	d      *Distributor
+	sentAt time.Time // when all bans were last sent
+	done   chan struct{}
 }
 
 func (s *banSender) run(ctx context.Context) {
@@ -41,6 +45,10 @@
 	for sleeper.Sleep(ctx, warnInterval) {
 		s.d.shareBans(ctx)
 		s.d.shareEvidence(ctx)
+		if time.Since(s.sentAt) >= resendInterval {
+			s.sentAt = time.Now()
+			s.d.resendBans(ctx)
+		}
 	}
 }
 
@@ -116,6 +124,22 @@
 	}
 }
 
+// resendBans sends all bans that are in force to all other entries, if this entry is one that decides.
+func (d *Distributor) resendBans(ctx context.Context) {
+	warning := wire.FleetWarning{Bans: quarantiner.ToWire(d.forwarder.Bans(maxWarnBans)), PartBans: isolator.BansToWire(d.forwarder.PartBans())}
+	if len(warning.Bans)+len(warning.PartBans) == 0 {
+		return
+	}
+	if _, isDeciding := d.decidingEntries(); !isDeciding {
+		return
+	}
+	warnings := make(map[netip.AddrPort]wire.FleetWarning)
+	for _, to := range d.otherEntries() {
+		warnings[to] = warning
+	}
+	d.warn(ctx, warnings)
+}
+
 // decidingEntries returns the other entries that decide on bans of parts of prompts, and whether this one
 // does. One of each failure domain decides, so that a domain that is cut off still has one.
 func (d *Distributor) decidingEntries() (others []netip.AddrPort, isDeciding bool) {
--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -42,6 +43,15 @@
 	return f.quarantine.TakeUnsentBans(time.Now(), limit)
 }
 
+// Bans returns up to limit bans of requests that are in force, those that last longest first.
+func (f *Forwarder) Bans(limit int) []quarantiner.Ban {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	bans := slices.DeleteFunc(f.quarantine.Bans(time.Now()), func(b quarantiner.Ban) bool { return b.Remaining == 0 })
+	slices.SortStableFunc(bans, func(a, b quarantiner.Ban) int { return cmp.Compare(b.Remaining, a.Remaining) })
+	return bans[:min(limit, len(bans))]
+}
+
 // MergeBan merges a ban received from another entry.
 func (f *Forwarder) MergeBan(ban quarantiner.Ban) {
 	f.mu.Lock()
--- a/standin/simulator/engine.go
+++ b/standin/simulator/engine.go
@@ -32,7 +32,7 @@
 	e := &Engine{ID: fmt.Sprintf("engine-%d", index), f: f, index: index}
 	engineConfig := standin.SlotEngineConfig{
 		ID: e.ID, Slots: f.c.Slots, Events: f.c.Events, Manifest: standin.TestManifest, OnArrive: f.c.OnArrive, OnStart: f.c.OnStart,
-		CrashingParts: f.c.CrashingParts, CrashRestart: crashRestart,
+		CrashingCalls: f.c.CrashingCalls, CrashingParts: f.c.CrashingParts, CrashRestart: crashRestart,
 	}
 	if hasWeights {
 		engineConfig.Weights = 1
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -42,7 +42,8 @@
 	// OnArrive is called when a call reaches an engine, and OnStart when it begins to run there.
 	OnArrive func(call string)
 	OnStart  func(call, engine string, weights int64)
-	// CrashingParts are parts of prompts that crash the engines.
+	// CrashingCalls are calls, and CrashingParts parts of prompts, that crash the engines.
+	CrashingCalls []string
 	CrashingParts []string
 }
 
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -41,8 +41,9 @@
 	OnArrive func(call string)
 	// OnStart is called when a call begins to run, with the version that the engine holds.
 	OnStart func(call, engine string, weights int64)
-	// CrashingParts are parts of prompts that crash the engine when it would write the first event. It
-	// starts again after CrashRestart.
+	// CrashingCalls are calls, and CrashingParts parts of prompts, that crash the engine when it would
+	// write the first event. It starts again after CrashRestart.
+	CrashingCalls []string
 	CrashingParts []string
 	CrashRestart  time.Duration
 }
@@ -226,8 +227,11 @@
 	}
 }
 
-// crashes reports whether a call has one of the parts that crash the engine.
+// crashes reports whether a call crashes the engine.
 func (e *SlotEngine) crashes(r *http.Request) bool {
+	if slices.Contains(e.c.CrashingCalls, r.Header.Get(HeaderCall)) {
+		return true
+	}
 	parts := strings.Split(r.Header.Get(HeaderPromptParts), ",")
 	return slices.ContainsFunc(e.c.CrashingParts, func(part string) bool { return slices.Contains(parts, part) })
 }
