--- a/internal/process/distributor/releases.go
+++ b/internal/process/distributor/releases.go
@@ -20,7 +20,7 @@
 	firstRelease = 1
 	// maxProofGap is the longest time between two proofs of the configuration at an entry that is in
 	// contact with the store, itself or through others.
-	maxProofGap = 3 * time.Second
+	maxProofGap = 4 * time.Second
 	// catchUpTime is how long after such a gap an entry may hear of releases that were named in it.
 	catchUpTime = time.Second
 )
