--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -251,11 +251,11 @@
 	return u != nil && u.load.IsLoading && u.reportAge(now) < stateLifetime
 }
 
-// IsLost reports whether a younger upstream is listed at the upstream's address, or a recent report
-// says that it is down or was restarted after born. It is false for upstreams that are not listed.
+// IsLost reports whether a younger upstream is listed under the upstream's ID or at its address, or a
+// recent report says that it is down or was restarted after born. It is false for upstreams that are not listed.
 func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
 	u := b.byID[id]
-	if u != nil && u.isReplaced {
+	if u != nil && (u.isReplaced || u.Born.After(born)) {
 		return true
 	}
 	if u == nil || u.reportAge(now) > loadLifetime {
