A ban of prompt parts holds for those that the evidence cannot tell apart

What callers could see: calls with a bad part that go on to crash engines where they are many or an entry has ended, and sound calls refused for ten minutes. Found by a review with trials. Causes: crashes within 0.15 s of each other counted as one, also under a part that no call had ever begun with; of two parts that always came together one was banned by its place in the prompt; a proof that came before the news of the crash was not told, one that ended a ban was told to some entries alone; crashes came back after a ban had explained them; the one entry of a failure domain that decides could be dead. Class: a verdict from evidence that may be partial, without a way back. Change: a ban names all parts that the evidence cannot tell apart and refuses only calls that have them all; a sound call with one of them clears it, bad calls without it isolate the other. Crashes without suspects are told too, so that a part under which nearly all of many crashes at once happened can be told from a failure of many engines. A part that was seen to be sound needs five crashes. Two entries of each failure domain decide. A crash counts also where another entry or the list tells of it. An answer proves its parts only with a status of success. Not mended, of the review: an entry whose list is old counts the restart of an engine as a crash; messages that waited while a machine stood still count as new; a ban ends after ten minutes while calls still come; evidence is told once within 0.15 s.

--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -1,8 +1,10 @@
 package distributor
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -101,11 +103,15 @@
 }
 
 // shareEvidence sends the other entries what this one has found out about parts of prompts that crash
-// engines. Proofs go only to the entries that decide: there are many of them.
+// engines. Proofs are many and go only to the entries that decide, unless they change a ban.
 func (d *Distributor) shareEvidence(ctx context.Context) {
 	deciding, isDeciding := d.decidingEntries()
-	warning := isolator.ToWire(d.forwarder.Isolate(isDeciding))
+	evidence := d.forwarder.Isolate(isDeciding)
+	warning := isolator.ToWire(evidence)
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
+	if evidence.IsLifting {
+		deciding = d.otherEntries()
+	}
 	if len(warning.Proofs) > 0 {
 		for _, to := range deciding {
 			warnings[to] = warning
@@ -140,28 +146,32 @@
 	d.warn(ctx, warnings)
 }
 
-// decidingEntries returns the other entries that decide on bans of parts of prompts, and whether this one
-// does. One of each failure domain decides, so that a domain that is cut off still has one.
+// decidersPerDomain is the number of entries of a failure domain that decide on bans of parts of prompts.
+// Each domain has its own, for when it is cut off, and more than one, since one may have ended or stand
+// still.
+const decidersPerDomain = 2
+
+// decidingEntries returns the other entries that decide, and whether this one does. All entries with the
+// same list agree.
 func (d *Distributor) decidingEntries() (others []netip.AddrPort, isDeciding bool) {
-	const key = "decides on bans"
 	self := d.c.Settings.PeerAddress(d.c.Settings.Address)
-	first := map[string]netip.AddrPort{d.c.Settings.FailureDomain: self}
+	byDomain := map[string][]netip.AddrPort{d.c.Settings.FailureDomain: {self}}
 	d.mu.Lock()
 	for address, e := range d.entries {
-		known, isKnown := first[e.domain]
-		if !isKnown || foxtailwharf.RendezvousScore(key, address.String()) > foxtailwharf.RendezvousScore(key, known.String()) {
-			first[e.domain] = address
-		}
+		byDomain[e.domain] = append(byDomain[e.domain], address)
 	}
 	d.mu.Unlock()
-	for _, address := range first {
-		if address == self {
-			isDeciding = true
-		} else {
-			others = append(others, address)
-		}
+	for _, entries := range byDomain {
+		slices.SortFunc(entries, func(a, b netip.AddrPort) int { return cmp.Compare(decidingRank(b), decidingRank(a)) })
+		others = append(others, entries[:min(decidersPerDomain, len(entries))]...)
 	}
-	return others, isDeciding
+	isDeciding = slices.Contains(others, self)
+	return slices.DeleteFunc(others, func(address netip.AddrPort) bool { return address == self }), isDeciding
+}
+
+// decidingRank orders the entries of a failure domain identically in all processes.
+func decidingRank(entry netip.AddrPort) uint64 {
+	return foxtailwharf.RendezvousScore("decides on bans", entry.String())
 }
 
 // handleWarn records the bans and the evidence of another entry.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -177,9 +177,7 @@
 	var failure *requester.Error
 	isEnded := errors.Is(context.Cause(ctx), errUpstreamEnded) || (ctx.Err() == nil && errors.As(err, &failure) && failure.IsBroken)
 	if isEnded && !a.x.f.c.Assigner.IsLoading(a.upstream) {
-		if len(a.x.call.PromptParts) > 0 && !a.hasEvent.Load() {
-			a.x.f.suspectCrash(a.upstream, a.x.call.PromptParts)
-		}
+		a.suspectCrash()
 		a.x.f.recordCrash(context.WithoutCancel(ctx), a.upstream, a.x.digest)
 	}
 	if errors.Is(context.Cause(ctx), errStalled) {
@@ -191,6 +189,17 @@
 	return unknown, balancer.Failed
 }
 
+// suspectCrash records the end of an engine. What it had begun to answer has not crashed it.
+func (a *attempt) suspectCrash() {
+	switch {
+	case a.x.service.Engine == nil:
+	case a.hasEvent.Load():
+		a.x.f.suspectCrash(a.upstream, nil)
+	default:
+		a.x.f.suspectCrash(a.upstream, a.x.call.PromptParts)
+	}
+}
+
 // handleRejected handles an answer that says that the upstream did not run the call.
 func (a *attempt) handleRejected(answer *requester.Response, reply foxtailwharf.Reply) (outcome, balancer.Result) {
 	a.drain(answer)
@@ -231,7 +240,9 @@
 	if isServerError {
 		return delivered, balancer.Failed
 	}
-	a.begin()
+	if answer.Status < http.StatusMultipleChoices {
+		a.begin()
+	}
 	a.x.f.clearSuspicion(a.x.digest)
 	return delivered, balancer.Answered
 }
--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -15,19 +15,20 @@
 )
 
 // confirmTime is how long a broken connection to an engine may stay unexplained before it counts as no
-// crash. The engine's agent reports a crash within some tenths of a second.
-const confirmTime = 1500 * time.Millisecond
+// crash. The engine's agent reports a crash within some tenths of a second; without its reports the list
+// or another entry tells.
+const confirmTime = 5 * time.Second
 
 // errQuarantined is the cause with which a call is cancelled that has a banned part in its prompt and has
 // not begun to be answered.
 var errQuarantined = errors.New("a part of the prompt crashes upstreams")
 
-// suspectedCrash is a broken connection to an engine under a call that had not begun to be answered. It
-// counts as a crash once the engine is known to have ended.
+// suspectedCrash is a broken connection to an engine. It counts as a crash once the engine is known to have
+// ended.
 type suspectedCrash struct {
 	upstream foxtailwharf.Upstream
 	at       time.Time
-	parts    []string
+	parts    []string // of a call that had not begun to be answered
 }
 
 // incarnation identifies one process of an upstream.
@@ -98,7 +99,8 @@
 	return f.isolator.IsLikelyBad(parts)
 }
 
-// suspectCrash records a broken connection to an engine under a call that had not begun to be answered.
+// suspectCrash records a broken connection to an engine, with the parts of the call if it had not begun to
+// be answered.
 func (f *Forwarder) suspectCrash(upstream foxtailwharf.Upstream, parts []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -120,21 +122,21 @@
 	suspected := f.suspected
 	f.suspected = nil
 	f.mu.Unlock()
-	var crashes, open []suspectedCrash
+	isLost := make(map[string]bool)
 	for _, s := range suspected {
-		switch {
-		case f.c.Assigner.IsLost(s.upstream):
-			crashes = append(crashes, s)
-		case now.Sub(s.at) < confirmTime:
-			open = append(open, s)
-		}
+		isLost[incarnation(s.upstream)] = f.c.Assigner.IsLost(s.upstream)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.suspected = append(open, f.suspected...)
-	for _, s := range crashes {
-		f.isolator.RecordCrash(s.at, incarnation(s.upstream), s.parts)
-		f.c.Log.Info("quarantine: engine crashed under a call that had not begun", zap.String("Upstream", s.upstream.ID), zap.Strings("PromptParts", s.parts))
+	for _, s := range suspected {
+		upstream := incarnation(s.upstream)
+		switch {
+		case isLost[upstream] || f.isolator.HasCrash(upstream):
+			f.isolator.RecordCrash(now, s.at, upstream, s.parts)
+			f.c.Log.Info("quarantine: engine crashed", zap.String("Upstream", s.upstream.ID), zap.Strings("PromptParts", s.parts))
+		case now.Sub(s.at) < confirmTime:
+			f.suspected = append(f.suspected, s)
+		}
 	}
 	if isDeciding {
 		f.enforce(f.isolator.Decide(now))
@@ -156,18 +158,17 @@
 	return f.isolator.Bans(time.Now())
 }
 
-// enforce ends the calls with a newly banned part that have not begun to be answered. The lock must be
-// held.
+// enforce ends the calls under a new ban that have not begun to be answered. The lock must be held.
 func (f *Forwarder) enforce(banned []isolator.Ban) {
 	for _, b := range banned {
 		ended := 0
 		for x := range f.pending {
-			if slices.Contains(x.call.PromptParts, b.Part) {
+			if b.Covers(x.call.PromptParts) {
 				x.cancel(errQuarantined)
 				ended++
 			}
 		}
-		f.c.Log.Warn("quarantine: calls with a part in their prompts are refused, since it crashes engines", zap.String("PromptPart", b.Part),
+		f.c.Log.Warn("quarantine: calls with these parts in their prompts are refused, since they crash engines", zap.Strings("PromptParts", b.Parts),
 			zap.Duration("SinceCrash", b.Age), zap.Duration("Remaining", b.Remaining), zap.Int("Ended", ended))
 	}
 }
--- /dev/null
+++ b/internal/request/isolator/ban.go
@@ -0,0 +1,110 @@
+package isolator
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// ban is a ban of the calls that have all of some parts: those that the evidence could not tell apart.
+type ban struct {
+	parts     []string // sorted
+	until     time.Time
+	crashedAt time.Time // newest crash that is held against the parts
+}
+
+// key identifies a ban by its parts.
+func (b *ban) key() string {
+	return strings.Join(b.parts, " ")
+}
+
+// Covers reports whether a call with these parts is banned.
+func (b Ban) Covers(parts []string) bool {
+	return containsAll(parts, b.Parts)
+}
+
+// covers is Covers of a ban in force.
+func (b *ban) covers(parts []string) bool {
+	return containsAll(parts, b.parts)
+}
+
+func containsAll(list, wanted []string) bool {
+	return !slices.ContainsFunc(wanted, func(part string) bool { return !slices.Contains(list, part) })
+}
+
+// renew makes the ban count from a crash.
+func (b *ban) renew(at time.Time, length time.Duration) {
+	if at.After(b.crashedAt) {
+		b.crashedAt, b.until = at, at.Add(length)
+	}
+}
+
+// told returns the ban as it is told to other entries.
+func (b *ban) told(now time.Time) Ban {
+	return Ban{Parts: b.parts, Age: now.Sub(b.crashedAt), Remaining: b.until.Sub(now)}
+}
+
+// covering returns a ban that covers a call with these parts; nil if there is none.
+func (i *Isolator) covering(parts []string) *ban {
+	for _, b := range i.bans {
+		if b.covers(parts) {
+			return b
+		}
+	}
+	return nil
+}
+
+// BanRemaining returns how much longer a call with these parts is banned; 0 if it is not.
+func (i *Isolator) BanRemaining(now time.Time, parts []string) (remaining time.Duration) {
+	for _, b := range i.bans {
+		if b.covers(parts) {
+			remaining = max(remaining, b.until.Sub(now))
+		}
+	}
+	return remaining
+}
+
+// addBan adds a ban in place of those that it covers, and drops what is held against other parts for the
+// crashes that it explains.
+func (i *Isolator) addBan(parts []string, until, crashedAt time.Time) *ban {
+	for key, other := range i.bans {
+		if containsAll(other.parts, parts) {
+			delete(i.bans, key)
+		}
+	}
+	b := &ban{parts: parts, until: until, crashedAt: crashedAt}
+	i.bans[b.key()] = b
+	for upstream, c := range i.crashes {
+		if !c.hasAll(parts) {
+			continue
+		}
+		c.isExplained = true
+		for _, suspect := range sortedKeys(c.suspects) {
+			if !slices.Contains(parts, suspect) {
+				i.forget(suspect, upstream)
+			}
+		}
+	}
+	return b
+}
+
+func (c *crash) hasAll(parts []string) bool {
+	return !slices.ContainsFunc(parts, func(part string) bool { return !c.suspects[part] })
+}
+
+// shrinkBans removes a part that was sound at a time from the bans for crashes before. A ban without parts
+// ends. It reports whether any ban has changed.
+func (i *Isolator) shrinkBans(soundAt time.Time, part string) (isChanged bool) {
+	for key, b := range i.bans {
+		if !slices.Contains(b.parts, part) || b.crashedAt.After(soundAt) {
+			continue
+		}
+		isChanged = true
+		delete(i.bans, key)
+		rest := slices.DeleteFunc(slices.Clone(b.parts), func(other string) bool { return other == part })
+		if len(rest) > 0 {
+			i.addBan(rest, b.until, b.crashedAt)
+		}
+	}
+	return isChanged
+}
--- a/internal/request/isolator/evidence.go
+++ b/internal/request/isolator/evidence.go
@@ -2,21 +2,18 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
-// Crash is a crash of an engine as an entry tells it to others, with the suspects among its own calls.
+// Crash is a crash of an engine as an entry tells it to others, with the suspects among its own calls:
+// the parts of those that had not begun to be answered.
 type Crash struct {
 	Upstream string // incarnation
 	Age      time.Duration
-	Suspects []Suspect
-}
-
-// Suspect is a part of a call that had not begun when its engine crashed.
-type Suspect struct {
-	Part  string
-	Depth int // place in the prompt, 0 for the first part
+	Parts    []string
 }
 
 // Proof says that a call with a part began to be answered.
@@ -25,26 +22,27 @@
 	Age  time.Duration
 }
 
-// Ban is a ban of a part.
+// Ban is a ban of the calls that have all of some parts.
 type Ban struct {
-	Part      string
-	Age       time.Duration // since the newest crash that is held against the part
+	Parts     []string      // sorted
+	Age       time.Duration // since the newest crash that is held against the parts
 	Remaining time.Duration
 }
 
 // Evidence is what entries tell each other. Crashes and bans concern all entries, proofs only those
-// that decide.
+// that decide, unless they change a ban.
 type Evidence struct {
-	Crashes []Crash
-	Proofs  []Proof
-	Bans    []Ban
+	Crashes   []Crash
+	Proofs    []Proof
+	Bans      []Ban
+	IsLifting bool // a proof changes a ban
 }
 
 // TakeUnsent returns what this entry has found itself and not returned before.
 func (i *Isolator) TakeUnsent(now time.Time) (e Evidence) {
 	for _, upstream := range sortedKeys(i.unsent.crashes) {
 		if c := i.crashes[upstream]; c != nil {
-			e.Crashes = append(e.Crashes, Crash{Upstream: upstream, Age: now.Sub(c.at), Suspects: c.ownSuspects()})
+			e.Crashes = append(e.Crashes, Crash{Upstream: upstream, Age: now.Sub(c.at), Parts: sortedKeys(c.own)})
 		}
 	}
 	for _, part := range sortedKeys(i.unsent.proofs) {
@@ -52,40 +50,34 @@
 			e.Proofs = append(e.Proofs, Proof{Part: part, Age: now.Sub(at)})
 		}
 	}
-	for _, part := range sortedKeys(i.unsent.bans) {
-		if i.bans[part] != nil {
-			e.Bans = append(e.Bans, i.ban(now, part))
+	for _, key := range sortedKeys(i.unsent.bans) {
+		if b := i.bans[key]; b != nil {
+			e.Bans = append(e.Bans, b.told(now))
 		}
 	}
+	e.IsLifting = i.unsent.isLifting
 	clear(i.unsent.crashes)
 	clear(i.unsent.proofs)
 	clear(i.unsent.bans)
+	i.unsent.isLifting = false
 	return e
 }
 
-// ownSuspects returns the suspects among this entry's own calls, sorted by part.
-func (c *crash) ownSuspects() (suspects []Suspect) {
-	for _, part := range sortedKeys(c.own) {
-		suspects = append(suspects, Suspect{Part: part, Depth: c.depth[part]})
-	}
-	return suspects
+// sortedKeys returns the keys of a set in order.
+func sortedKeys(set map[string]bool) []string {
+	return slices.Sorted(maps.Keys(set))
 }
 
-// Bans returns all bans, sorted by part.
+// Bans returns all bans, sorted by their parts.
 func (i *Isolator) Bans(now time.Time) (bans []Ban) {
 	i.expire(now)
-	for part := range i.bans {
-		bans = append(bans, i.ban(now, part))
+	for _, b := range i.bans {
+		bans = append(bans, b.told(now))
 	}
-	slices.SortFunc(bans, func(a, b Ban) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(bans, func(a, b Ban) int { return cmp.Compare(strings.Join(a.Parts, " "), strings.Join(b.Parts, " ")) })
 	return bans
 }
 
-func (i *Isolator) ban(now time.Time, part string) Ban {
-	b := i.bans[part]
-	return Ban{Part: part, Age: now.Sub(b.crashedAt), Remaining: b.until.Sub(now)}
-}
-
 // sameCrash is how much the time of a crash may differ between two entries, because of the time that
 // messages take. Entries that took each other's differences for news would renew their bans for ever.
 const sameCrash = time.Second
@@ -106,38 +98,38 @@
 	return banned
 }
 
-// mergeCrash adds a crash that another entry has seen. One under a banned part is explained by the ban.
+// mergeCrash adds a crash that another entry has seen. One under all parts of a ban is explained by it.
 func (i *Isolator) mergeCrash(now time.Time, c Crash) {
-	if slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return i.bans[s.Part] != nil }) {
+	if len(c.Parts) > 0 && i.covering(c.Parts) != nil {
 		return
 	}
-	known := i.addCrash(now.Add(-c.Age), c.Upstream)
-	if known == nil {
-		return
-	}
-	for _, s := range c.Suspects {
-		i.addSuspect(known, c.Upstream, s)
+	known := i.addCrash(now, now.Add(-c.Age), c.Upstream)
+	for _, part := range c.Parts {
+		i.addSuspect(known, c.Upstream, part)
 	}
 }
 
-// mergeBan adds a ban of another entry and reports whether it is new here. If a later call has proved
-// the part sound, the others are told so instead.
+// mergeBan adds a ban of another entry and reports whether it is new here. It leaves out parts that a
+// later call has proved sound, and the others are told so.
 func (i *Isolator) mergeBan(now time.Time, b Ban) bool {
 	crashedAt := now.Add(-b.Age)
-	if i.begun.last(b.Part).After(crashedAt) {
-		i.unsent.proofs[b.Part] = true
+	parts := slices.DeleteFunc(slices.Clone(b.Parts), func(part string) bool {
+		isSound := i.begun.last(part).After(crashedAt)
+		if isSound {
+			i.unsent.proofs[part] = true
+			i.unsent.isLifting = true
+		}
+		return isSound
+	})
+	if len(parts) == 0 || b.Remaining <= 0 {
 		return false
 	}
-	if known := i.bans[b.Part]; known != nil {
+	if known := i.covering(parts); known != nil {
 		if crashedAt.Sub(known.crashedAt) > sameCrash {
-			known.crashedAt, known.until = crashedAt, crashedAt.Add(i.c.BanTime)
+			known.renew(crashedAt, i.c.BanTime)
 		}
 		return false
 	}
-	if b.Remaining <= 0 {
-		return false
-	}
-	i.bans[b.Part] = &ban{until: now.Add(min(b.Remaining, i.c.BanTime)), crashedAt: crashedAt}
-	i.explain(b.Part)
+	i.addBan(parts, now.Add(min(b.Remaining, i.c.BanTime)), crashedAt)
 	return true
 }
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -6,27 +6,31 @@
 package isolator
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// settleTime is how long a crash waits for proofs before it counts.
+	// settleTime is how long a crash waits for proofs, from when it was heard of, before it counts.
 	settleTime = 300 * time.Millisecond
-	// crashGap is the time after a crash within which further ones count as the same: a failure of many
-	// engines at once has another cause than a call.
+	// crashGap is the time after a crash within which further ones are not apart from it: a failure of
+	// many engines at once has another cause than a call.
 	crashGap = 150 * time.Millisecond
 	// likelyCrashes is the number of crashes at which a part that was never seen to be sound is likely to
 	// be bad.
 	likelyCrashes = 2
-	// crashesToBan is the number of crashes at which a part is banned, if the part is among the
-	// suspects of at least minCoverage of all crashes since its first. At certainCrashes it is banned
-	// whatever other engines crash.
-	crashesToBan   = 3
-	minCoverage    = 0.5
+	// crashesToBan is the number of crashes, apart from each other, at which a part that was never seen
+	// to be sound is banned, if it is a suspect of minCoverage of all crashes meanwhile.
+	crashesToBan = 3
+	minCoverage  = 0.5
+	// certainCrashes is the number of crashes that isolate a part whatever other engines crash. Crashes at
+	// once do, if the part is a suspect of burstCoverage of them.
 	certainCrashes = 5
+	burstCoverage  = 0.9
+	// crashesToRefine is the number of crashes under a part of a ban, of calls that the ban does not
+	// cover, at which the part is banned by itself.
+	crashesToRefine = 2
 	// maxCrashes bounds the crashes that are remembered, and maxParts the suspects of each.
 	maxCrashes = 1000
 	maxParts   = 256
@@ -54,28 +58,26 @@
 	crashes  map[string]*crash          // by incarnation of the engine
 	suspects map[string]map[string]bool // incarnations that crashed under a part, by part
 	begun    recentTimes                // when a call with a part last began to be answered
-	bans     map[string]*ban            // by part
+	bans     map[string]*ban            // by key
 	unsent   unsent
 }
 
 // crash is a crash of an engine and its suspects.
 type crash struct {
-	at    time.Time
-	own   map[string]bool // suspects among this entry's own calls
-	depth map[string]int  // place of each suspect in its prompt
-}
-
-// ban is a ban of a part.
-type ban struct {
-	until     time.Time
-	crashedAt time.Time // newest crash that is held against the part
+	at          time.Time
+	heardAt     time.Time       // when this entry first heard of it
+	own         map[string]bool // suspects among this entry's own calls
+	suspects    map[string]bool
+	isExplained bool // a ban covers it; its suspects are those of the ban
 }
 
 // unsent is what TakeUnsent has not returned.
 type unsent struct {
 	crashes map[string]bool // by incarnation
 	proofs  map[string]bool // by part
-	bans    map[string]bool // by part
+	bans    map[string]bool // by key
+	// isLifting is set if a proof changes a ban, which all entries have to hear.
+	isLifting bool
 }
 
 // New returns an isolator without suspects. Zero fields of the configuration get their defaults.
@@ -90,34 +92,37 @@
 	}
 }
 
-// RecordCrash records that an engine crashed while a call with these parts, in the order of the prompt,
-// had not begun to be answered. The parameter upstream must be different for each incarnation.
-func (i *Isolator) RecordCrash(at time.Time, upstream string, parts []string) {
-	if i.hasBanned(parts) {
-		i.renewBans(at, parts)
-		return
-	}
-	c := i.addCrash(at, upstream)
-	if c == nil {
+// RecordCrash records that an engine crashed while a call with these parts had not begun to be answered.
+// Without parts it records the crash alone. The parameter upstream must be different for each
+// incarnation.
+func (i *Isolator) RecordCrash(now, at time.Time, upstream string, parts []string) {
+	if b := i.covering(parts); b != nil {
+		b.renew(at, i.c.BanTime)
 		return
 	}
-	for depth, part := range parts {
-		if i.addSuspect(c, upstream, Suspect{Part: part, Depth: depth}) {
+	c := i.addCrash(now, at, upstream)
+	for _, part := range parts {
+		if i.addSuspect(c, upstream, part) {
 			c.own[part] = true
 		}
 	}
 	i.unsent.crashes[upstream] = true
 }
 
-// addCrash returns the crash of an engine, which it adds if it is not known. It returns nil if too many
-// crashes are remembered.
-func (i *Isolator) addCrash(at time.Time, upstream string) *crash {
+// HasCrash reports whether an incarnation of an engine is known to have crashed.
+func (i *Isolator) HasCrash(upstream string) bool {
+	return i.crashes[upstream] != nil
+}
+
+// addCrash returns the crash of an engine, which it adds if it is not known. The oldest crash is dropped
+// if there are too many.
+func (i *Isolator) addCrash(now, at time.Time, upstream string) *crash {
 	c := i.crashes[upstream]
 	if c == nil {
 		if len(i.crashes) >= maxCrashes {
-			return nil
+			i.dropOldest()
 		}
-		c = &crash{at: at, own: make(map[string]bool), depth: make(map[string]int)}
+		c = &crash{at: at, heardAt: now, own: make(map[string]bool), suspects: make(map[string]bool)}
 		i.crashes[upstream] = c
 	}
 	if at.Before(c.at) {
@@ -126,24 +131,38 @@
 	return c
 }
 
-// addSuspect adds a part to the suspects of a crash. It returns false for a part that a later call has
-// proved sound, and if the crash has too many suspects.
-func (i *Isolator) addSuspect(c *crash, upstream string, s Suspect) bool {
-	if len(c.depth) >= maxParts || i.begun.last(s.Part).After(c.at) {
+func (i *Isolator) dropOldest() {
+	oldest := ""
+	for upstream, c := range i.crashes {
+		if oldest == "" || c.at.Before(i.crashes[oldest].at) {
+			oldest = upstream
+		}
+	}
+	i.dropCrash(oldest)
+}
+
+// addSuspect adds a part to the suspects of a crash. It returns false if a ban explains the crash, if a
+// later call has proved the part sound, which the others may not know, and if there are too many suspects.
+func (i *Isolator) addSuspect(c *crash, upstream, part string) bool {
+	if c.isExplained || len(c.suspects) >= maxParts {
+		return false
+	}
+	if i.begun.last(part).After(c.at) {
+		i.unsent.proofs[part] = true
 		return false
 	}
-	c.depth[s.Part] = max(c.depth[s.Part], s.Depth)
-	if i.suspects[s.Part] == nil {
-		i.suspects[s.Part] = make(map[string]bool)
+	c.suspects[part] = true
+	if i.suspects[part] == nil {
+		i.suspects[part] = make(map[string]bool)
 	}
-	i.suspects[s.Part][upstream] = true
+	i.suspects[part][upstream] = true
 	return true
 }
 
 // RecordBegin records that a call with these parts began to be answered, which clears them.
 func (i *Isolator) RecordBegin(now time.Time, parts []string) {
 	for _, part := range parts {
-		if i.suspects[part] != nil || i.bans[part] != nil {
+		if i.suspects[part] != nil {
 			i.unsent.proofs[part] = true
 		}
 		i.clear(now, part)
@@ -154,19 +173,20 @@
 func (i *Isolator) clear(soundAt time.Time, part string) {
 	i.begun.set(part, soundAt)
 	for upstream := range i.suspects[part] {
-		if c := i.crashes[upstream]; c == nil || !c.at.After(soundAt) {
+		if !i.crashes[upstream].at.After(soundAt) {
 			i.forget(part, upstream)
 		}
 	}
-	if b := i.bans[part]; b != nil && !b.crashedAt.After(soundAt) {
-		delete(i.bans, part)
+	if i.shrinkBans(soundAt, part) {
+		i.unsent.proofs[part] = true
+		i.unsent.isLifting = true
 	}
 }
 
 // forget removes one crash from what is held against a part.
 func (i *Isolator) forget(part, upstream string) {
 	if c := i.crashes[upstream]; c != nil {
-		delete(c.depth, part)
+		delete(c.suspects, part)
 		delete(c.own, part)
 	}
 	delete(i.suspects[part], upstream)
@@ -184,12 +204,17 @@
 // crashed under one of the parts, which was never seen to be sound.
 func (i *Isolator) IsLikelyBad(parts []string) bool {
 	return slices.ContainsFunc(parts, func(part string) bool {
-		return len(i.suspects[part]) >= likelyCrashes && i.begun.last(part).IsZero()
+		return len(i.suspects[part]) >= likelyCrashes && !i.hasBegun(part)
 	})
 }
 
-// Decide bans the parts that the evidence isolates. It returns the new bans. A ban explains all crashes
-// under its part, which are then no longer held against the other parts of the same calls.
+func (i *Isolator) hasBegun(part string) bool {
+	return !i.begun.last(part).IsZero()
+}
+
+// Decide bans what the evidence isolates: the parts that it cannot tell apart, and with them only calls
+// that have them all. It returns the new bans. A ban explains all crashes under its parts, which are then
+// no longer held against the other parts of the same calls.
 func (i *Isolator) Decide(now time.Time) (banned []Ban) {
 	i.expire(now)
 	for {
@@ -197,23 +222,34 @@
 		if !isFound {
 			return banned
 		}
-		i.bans[best.part] = &ban{until: now.Add(i.c.BanTime), crashedAt: best.last}
-		i.unsent.bans[best.part] = true
-		banned = append(banned, i.ban(now, best.part))
-		i.explain(best.part)
+		b := i.addBan(i.inseparable(best), now.Add(i.c.BanTime), best.last)
+		i.unsent.bans[b.key()] = true
+		banned = append(banned, b.told(now))
 	}
 }
 
-// explain drops the crashes under a banned part.
-func (i *Isolator) explain(part string) {
-	for upstream := range maps.Clone(i.suspects[part]) {
-		i.dropCrash(upstream)
+// inseparable returns a candidate with all parts that are suspects of the same crashes. Parts that were
+// seen to be sound are left out, unless the candidate itself was.
+func (i *Isolator) inseparable(c candidate) (parts []string) {
+	for part, upstreams := range i.suspects {
+		if i.hasBegun(part) && !c.hasBegun {
+			continue
+		}
+		isSame := true
+		for upstream := range i.suspects[c.part] {
+			isSame = isSame && upstreams[upstream]
+		}
+		if isSame {
+			parts = append(parts, part)
+		}
 	}
+	slices.Sort(parts)
+	return parts
 }
 
 func (i *Isolator) dropCrash(upstream string) {
 	if c := i.crashes[upstream]; c != nil {
-		for part := range maps.Clone(c.depth) {
+		for part := range maps.Clone(c.suspects) {
 			i.forget(part, upstream)
 		}
 	}
@@ -224,16 +260,15 @@
 // candidate is a part that the evidence may isolate.
 type candidate struct {
 	part     string
-	crashes  int // crashes at once count as one
+	crashes  int
 	hasBegun bool
-	depth    int
 	last     time.Time
 }
 
 // isolate returns the part that the evidence isolates best.
 func (i *Isolator) isolate(now time.Time) (best candidate, isFound bool) {
-	for part, upstreams := range i.suspects {
-		c, isCandidate := i.candidate(now, part, upstreams)
+	for part := range i.suspects {
+		c, isCandidate := i.candidate(now, part)
 		if isCandidate && (!isFound || isBetter(c, best)) {
 			best, isFound = c, true
 		}
@@ -242,28 +277,42 @@
 }
 
 // candidate returns what is held against a part; false if that is too little for a ban.
-func (i *Isolator) candidate(now time.Time, part string, upstreams map[string]bool) (c candidate, isCandidate bool) {
-	c = candidate{part: part, hasBegun: !i.begun.last(part).IsZero()}
+func (i *Isolator) candidate(now time.Time, part string) (c candidate, isCandidate bool) {
+	c = candidate{part: part, hasBegun: i.hasBegun(part)}
 	var times []time.Time
-	for upstream := range upstreams {
-		if crashed := i.crashes[upstream]; now.Sub(crashed.at) >= settleTime {
-			times = append(times, crashed.at)
-			c.depth = max(c.depth, crashed.depth[part])
+	isNew, unexplained := true, 0
+	for upstream := range i.suspects[part] {
+		crashed := i.crashes[upstream]
+		if now.Sub(crashed.heardAt) < settleTime {
+			continue
+		}
+		times = append(times, crashed.at)
+		if crashed.isExplained {
+			isNew = false
+		} else {
+			unexplained++
 		}
 	}
-	if len(times) < crashesToBan {
+	if len(times) < crashesToBan || unexplained == 0 || (!isNew && unexplained < crashesToRefine) {
 		return c, false
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	c.crashes, c.last = countApart(times), times[len(times)-1]
-	coverage := float64(len(times)) / float64(max(i.crashesBetween(times[0], c.last), 1))
-	return c, c.crashes >= certainCrashes || (c.crashes >= crashesToBan && coverage >= minCoverage)
+	c.crashes, c.last = len(times), times[len(times)-1]
+	apart := countApart(times)
+	coverage := float64(c.crashes) / float64(max(i.crashesAround(times[0], c.last, part), 1))
+	if c.hasBegun {
+		return c, c.crashes >= certainCrashes && apart >= crashesToBan && coverage >= minCoverage
+	}
+	return c, (apart >= crashesToBan && coverage >= minCoverage) || apart >= certainCrashes ||
+		(c.crashes >= certainCrashes && coverage >= burstCoverage)
 }
 
-// crashesBetween returns the number of crashes in a period, its ends included.
-func (i *Isolator) crashesBetween(from, to time.Time) (count int) {
+// crashesAround returns the number of crashes in a period and at once with its ends, but for those that
+// the ban of another part explains.
+func (i *Isolator) crashesAround(from, to time.Time, part string) (count int) {
+	from, to = from.Add(-crashGap), to.Add(crashGap)
 	for _, c := range i.crashes {
-		if !c.at.Before(from) && !c.at.After(to) {
+		if !c.at.Before(from) && !c.at.After(to) && (!c.isExplained || c.suspects[part]) {
 			count++
 		}
 	}
@@ -282,17 +331,14 @@
 	return count
 }
 
-// isBetter reports whether the evidence against a is better than that against b: more crashes, then
-// a part that was never seen to be sound, then the more specific one, which is deeper in the prompt. If
-// the ban of that is wrong, the crashes go on and isolate the other one.
+// isBetter reports whether the evidence against a is better than that against b: a part that was never
+// seen to be sound first, then more crashes.
 func isBetter(a, b candidate) bool {
 	switch {
-	case a.crashes != b.crashes:
-		return a.crashes > b.crashes
 	case a.hasBegun != b.hasBegun:
 		return b.hasBegun
-	case a.depth != b.depth:
-		return a.depth > b.depth
+	case a.crashes != b.crashes:
+		return a.crashes > b.crashes
 	default:
 		return a.part < b.part
 	}
@@ -307,31 +353,3 @@
 	}
 	maps.DeleteFunc(i.bans, func(_ string, b *ban) bool { return !b.until.After(now) })
 }
-
-// BanRemaining returns how much longer a call with these parts is banned; 0 if it is not.
-func (i *Isolator) BanRemaining(now time.Time, parts []string) (remaining time.Duration) {
-	for _, part := range parts {
-		if b := i.bans[part]; b != nil {
-			remaining = max(remaining, b.until.Sub(now))
-		}
-	}
-	return remaining
-}
-
-func (i *Isolator) hasBanned(parts []string) bool {
-	return slices.ContainsFunc(parts, func(part string) bool { return i.bans[part] != nil })
-}
-
-// renewBans makes the bans of parts count from a crash.
-func (i *Isolator) renewBans(at time.Time, parts []string) {
-	for _, part := range parts {
-		if b := i.bans[part]; b != nil && at.After(b.crashedAt) {
-			b.crashedAt, b.until = at, at.Add(i.c.BanTime)
-		}
-	}
-}
-
-// sortedKeys returns the keys of a set in order.
-func sortedKeys(set map[string]bool) []string {
-	return slices.SortedFunc(maps.Keys(set), cmp.Compare)
-}
--- a/internal/request/isolator/wire.go
+++ b/internal/request/isolator/wire.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf/wire"
@@ -9,11 +10,7 @@
 // crashesToWire converts crashes to messages.
 func crashesToWire(crashes []Crash) (messages []wire.PartCrash) {
 	for _, c := range crashes {
-		m := wire.PartCrash{Upstream: c.Upstream, AgeMillis: c.Age.Milliseconds()}
-		for _, s := range c.Suspects {
-			m.Suspects = append(m.Suspects, wire.PartSuspect{Part: s.Part, Depth: s.Depth})
-		}
-		messages = append(messages, m)
+		messages = append(messages, wire.PartCrash{Upstream: c.Upstream, AgeMillis: c.Age.Milliseconds(), Parts: c.Parts})
 	}
 	return messages
 }
@@ -29,7 +26,7 @@
 // BansToWire converts bans to messages.
 func BansToWire(bans []Ban) (messages []wire.PartBan) {
 	for _, b := range bans {
-		messages = append(messages, wire.PartBan{Part: b.Part, AgeMillis: b.Age.Milliseconds(), RemainingMillis: b.Remaining.Milliseconds()})
+		messages = append(messages, wire.PartBan{Parts: b.Parts, AgeMillis: b.Age.Milliseconds(), RemainingMillis: b.Remaining.Milliseconds()})
 	}
 	return messages
 }
@@ -42,11 +39,7 @@
 // FromWire converts the evidence in a message.
 func FromWire(w wire.FleetWarning) (e Evidence) {
 	for _, m := range w.Crashes {
-		c := Crash{Upstream: m.Upstream, Age: time.Duration(m.AgeMillis) * time.Millisecond}
-		for _, s := range m.Suspects {
-			c.Suspects = append(c.Suspects, Suspect{Part: s.Part, Depth: s.Depth})
-		}
-		e.Crashes = append(e.Crashes, c)
+		e.Crashes = append(e.Crashes, Crash{Upstream: m.Upstream, Age: time.Duration(m.AgeMillis) * time.Millisecond, Parts: m.Parts})
 	}
 	for _, m := range w.Proofs {
 		e.Proofs = append(e.Proofs, Proof{Part: m.Part, Age: time.Duration(m.AgeMillis) * time.Millisecond})
@@ -59,7 +52,7 @@
 func BansFromWire(messages []wire.PartBan) (bans []Ban) {
 	for _, m := range messages {
 		bans = append(bans, Ban{
-			Part: m.Part, Age: time.Duration(m.AgeMillis) * time.Millisecond, Remaining: time.Duration(m.RemainingMillis) * time.Millisecond,
+			Parts: slices.Sorted(slices.Values(m.Parts)), Age: time.Duration(m.AgeMillis) * time.Millisecond, Remaining: time.Duration(m.RemainingMillis) * time.Millisecond,
 		})
 	}
 	return bans
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -568,13 +568,14 @@
 	Version string `json:"Version"`
 }
 
-// PartBan bans calls with a part in their prompts that crashes upstreams.
+// PartBan bans calls that have all of some parts in their prompts, one of which
+// crashes upstreams.
 type PartBan struct {
-	// time since the newest crash that is held against the part
+	// time since the newest crash that is held against the parts
 	AgeMillis int64 `json:"AgeMillis"`
 
-	// Part corresponds to the JSON schema field "Part".
-	Part string `json:"Part"`
+	// Parts corresponds to the JSON schema field "Parts".
+	Parts []string `json:"Parts"`
 
 	// RemainingMillis corresponds to the JSON schema field "RemainingMillis".
 	RemainingMillis int64 `json:"RemainingMillis"`
@@ -586,8 +587,8 @@
 	// AgeMillis corresponds to the JSON schema field "AgeMillis".
 	AgeMillis int64 `json:"AgeMillis"`
 
-	// Suspects corresponds to the JSON schema field "Suspects".
-	Suspects []PartSuspect `json:"Suspects,omitempty,omitzero"`
+	// Parts corresponds to the JSON schema field "Parts".
+	Parts []string `json:"Parts,omitempty,omitzero"`
 
 	// incarnation that crashed
 	Upstream string `json:"Upstream"`
@@ -603,15 +604,6 @@
 	Part string `json:"Part"`
 }
 
-// PartSuspect is a part of a prompt and its place there, 0 for the first.
-type PartSuspect struct {
-	// Depth corresponds to the JSON schema field "Depth".
-	Depth int `json:"Depth,omitempty,omitzero"`
-
-	// Part corresponds to the JSON schema field "Part".
-	Part string `json:"Part"`
-}
-
 // Quarantine is what an entry holds against a request digest: the upstreams that
 // died with it, and for how long it is still barred, if it is.
 type Quarantine struct {
