Blank lines at the end of a stream are not the begin of an event

What callers could see: a whole stream that is aborted. Cause: a blank line after the last event counted as an event that is broken off. Evidence: the test, which failed first. Measured: it passes.

--- a/internal/request/splitter/splitter.go
+++ b/internal/request/splitter/splitter.go
@@ -33,8 +33,8 @@
 	return &Splitter{reader: bufio.NewReader(r)}
 }
 
-// Next returns the next complete event. The error is io.EOF if the stream ends between two events
-// and io.ErrUnexpectedEOF if it ends inside one.
+// Next returns the next complete event. The error is io.EOF if the stream ends between two events, where
+// it may have blank lines, and io.ErrUnexpectedEOF if it ends inside one.
 func (s *Splitter) Next() (event Event, err error) {
 	lineStart := 0
 	for {
@@ -45,7 +45,7 @@
 			return event, errors.Errorf("Splitter.Next: event is longer than %d bytes", MaxEventBytes)
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(event.Text) == 0:
+		case errors.Is(err, io.EOF) && isBlank(event.Text):
 			return event, io.EOF
 		case errors.Is(err, io.EOF):
 			return event, io.ErrUnexpectedEOF
--- a/internal/request/splitter/splitter_test.go
+++ b/internal/request/splitter/splitter_test.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// TestBlankLinesAtEnd has blank lines after the last event, which are not the begin of another one.
+func TestBlankLinesAtEnd(t *testing.T) {
+	for _, end := range []string{"", "\n", "\r\n", "\n\n"} {
+		s := splitter.New(strings.NewReader("data: x\n\n" + end))
+		withData := 0
+		var err error
+		for err == nil {
+			var event splitter.Event
+			if event, err = s.Next(); event.HasData {
+				withData++
+			}
+		}
+		if withData != 1 || !errors.Is(err, io.EOF) {
+			t.Errorf("%q at the end: have %d events with data and %v, want one and the end", end, withData, err)
+		}
+	}
+}
+
 func TestVersion(t *testing.T) {
 	tests := []struct{ text, want string }{
 		{`data: {"system_fingerprint":"v1","x":1}`, "v1"},
