A stream without length or chunks that ends before its first event is broken off

What callers could see: an empty stream that looks whole, from an engine that crashed after its head; and the crash did not count against the call, so that a bad part of a prompt would never be banned. Cause: the end of the connection was taken for the end of the answer. Class: an end that says nothing taken for a success. Change: such an end counts as broken until an event has come. A crash between two events of such a stream cannot be told from its end.

--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -101,6 +101,9 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// IsDelimited is set if a length or chunks tell where the body ends. Otherwise it ends with the
+	// connection, also if the upstream has broken it off.
+	IsDelimited bool
 
 	x           *Requester
 	conn        *connection
@@ -135,6 +138,7 @@
 	}
 	a.Status = response.StatusCode
 	a.Header = response.Header
+	a.IsDelimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	a.body = response.Body
 	a.isKeepAlive = !response.Close
 	conn.expires = time.Now().Add(idleTimeout(response.Header))
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -276,6 +276,9 @@
 	for {
 		event, err := events.Next()
 		switch {
+		case errors.Is(err, io.EOF) && !a.hasEvent.Load() && !answer.IsDelimited:
+			// An upstream that crashes before its first event ends the connection as well.
+			return a.handleBroken(ctx, &requester.Error{IsBroken: true, Err: io.ErrUnexpectedEOF})
 		case errors.Is(err, io.EOF):
 			x.beginStream(answer.Status, header)
 			x.f.clearSuspicion(x.digest)
