A crash of an engine is told three times

What callers could see: calls with a bad part that go on to crash engines while messages between entries are lost or late. Cause: evidence was told once, within 0.15 s. Evidence: the test, in which the first message of each crash is lost; it failed first by the code's order of things, as nothing is told twice. Change: crashes are told in three rounds. Measured: the test passes.

--- a/internal/request/isolator/evidence.go
+++ b/internal/request/isolator/evidence.go
@@ -38,12 +38,16 @@
 	IsLifting bool // a proof changes a ban
 }
 
-// TakeUnsent returns what this entry has found itself and not returned before.
+// TakeUnsent returns what this entry has found itself and not returned before. It returns crashes
+// several times.
 func (i *Isolator) TakeUnsent(now time.Time) (e Evidence) {
-	for _, upstream := range sortedKeys(i.unsent.crashes) {
+	for _, upstream := range slices.Sorted(maps.Keys(i.unsent.crashes)) {
 		if c := i.crashes[upstream]; c != nil {
 			e.Crashes = append(e.Crashes, Crash{Upstream: upstream, Age: now.Sub(c.at), Parts: sortedKeys(c.own)})
 		}
+		if i.unsent.crashes[upstream]--; i.unsent.crashes[upstream] == 0 {
+			delete(i.unsent.crashes, upstream)
+		}
 	}
 	for _, part := range sortedKeys(i.unsent.proofs) {
 		if at := i.begun.last(part); !at.IsZero() {
@@ -56,7 +60,6 @@
 		}
 	}
 	e.IsLifting = i.unsent.isLifting
-	clear(i.unsent.crashes)
 	clear(i.unsent.proofs)
 	clear(i.unsent.bans)
 	i.unsent.isLifting = false
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -31,6 +31,8 @@
 	// crashesToRefine is the number of crashes under a part of a ban, of calls that the ban does not
 	// cover, at which the part is banned by itself.
 	crashesToRefine = 2
+	// crashTellings is how often other entries are told a crash, since a message may be lost.
+	crashTellings = 3
 	// maxCrashes bounds the crashes that are remembered, and maxParts the suspects of each.
 	maxCrashes = 1000
 	maxParts   = 256
@@ -73,7 +75,7 @@
 
 // unsent is what TakeUnsent has not returned.
 type unsent struct {
-	crashes map[string]bool // by incarnation
+	crashes map[string]int  // how often each is still to be told, by incarnation
 	proofs  map[string]bool // by part
 	bans    map[string]bool // by key
 	// isLifting is set if a proof changes a ban, which all entries have to hear.
@@ -88,7 +90,7 @@
 		crashes:  make(map[string]*crash),
 		suspects: make(map[string]map[string]bool),
 		bans:     make(map[string]*ban),
-		unsent:   unsent{crashes: make(map[string]bool), proofs: make(map[string]bool), bans: make(map[string]bool)},
+		unsent:   unsent{crashes: make(map[string]int), proofs: make(map[string]bool), bans: make(map[string]bool)},
 	}
 }
 
@@ -106,7 +108,7 @@
 			c.own[part] = true
 		}
 	}
-	i.unsent.crashes[upstream] = true
+	i.unsent.crashes[upstream] = crashTellings
 }
 
 // HasCrash reports whether an incarnation of an engine is known to have crashed.
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -249,6 +249,25 @@
 	}
 }
 
+// TestLostMessage has the first message about each crash lost.
+func TestLostMessage(t *testing.T) {
+	entry, judge := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
+	for _, s := range []float64{1, 2, 3} {
+		crashUnder(entry, []string{"bad"}, s)
+		entry.TakeUnsent(at(s))
+		judge.Merge(at(s+0.1), entry.TakeUnsent(at(s+0.1)))
+	}
+	if judge.Decide(at(4)); len(banned(judge, at(4))) != 1 {
+		t.Errorf("have %v banned, want the part", banned(judge, at(4)))
+	}
+	for range 3 {
+		entry.TakeUnsent(at(4))
+	}
+	if e := entry.TakeUnsent(at(4)); len(e.Crashes) != 0 {
+		t.Errorf("%d crashes are told without end", len(e.Crashes))
+	}
+}
+
 // TestProofEndsBan has an entry know better than the one that decided.
 func TestProofEndsBan(t *testing.T) {
 	judge, entry := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
