--- a/internal/request/isolator/ban.go
+++ b/internal/request/isolator/ban.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// told returns the ban as it is told to other entries.
-func (b *ban) told(now time.Time) Ban {
+// report returns the ban as it is sent to other entries.
+func (b *ban) report(now time.Time) Ban {
 	return Ban{Parts: b.parts, Age: now.Sub(b.crashedAt), Remaining: b.until.Sub(now)}
 }
 
--- a/internal/request/isolator/evidence.go
+++ b/internal/request/isolator/evidence.go
@@ -56,7 +56,7 @@
 	}
 	for _, key := range sortedKeys(i.unsent.bans) {
 		if b := i.bans[key]; b != nil {
-			e.Bans = append(e.Bans, b.told(now))
+			e.Bans = append(e.Bans, b.report(now))
 		}
 	}
 	e.IsLifting = i.unsent.isLifting
@@ -75,7 +75,7 @@
 func (i *Isolator) Bans(now time.Time) (bans []Ban) {
 	i.expire(now)
 	for _, b := range i.bans {
-		bans = append(bans, b.told(now))
+		bans = append(bans, b.report(now))
 	}
 	slices.SortFunc(bans, func(a, b Ban) int { return cmp.Compare(strings.Join(a.Parts, " "), strings.Join(b.Parts, " ")) })
 	return bans
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -31,8 +31,8 @@
 	// crashesToRefine is the number of crashes under a part of a ban, of calls that the ban does not
 	// cover, at which the part is banned by itself.
 	crashesToRefine = 2
-	// crashTellings is how often other entries are told a crash, since a message may be lost.
-	crashTellings = 3
+	// crashSends is how often a crash is sent to the other entries, since a message may be lost.
+	crashSends = 3
 	// maxCrashes bounds the crashes that are remembered, and maxParts the suspects of each.
 	maxCrashes = 1000
 	maxParts   = 256
@@ -75,7 +75,7 @@
 
 // unsent is what TakeUnsent has not returned.
 type unsent struct {
-	crashes map[string]int  // how often each is still to be told, by incarnation
+	crashes map[string]int  // how often each is still to be sent, by incarnation
 	proofs  map[string]bool // by part
 	bans    map[string]bool // by key
 	// isLifting is set if a proof changes a ban, which all entries have to hear.
@@ -108,7 +108,7 @@
 			c.own[part] = true
 		}
 	}
-	i.unsent.crashes[upstream] = crashTellings
+	i.unsent.crashes[upstream] = crashSends
 }
 
 // HasCrash reports whether an incarnation of an engine is known to have crashed.
@@ -226,7 +226,7 @@
 		}
 		b := i.addBan(i.inseparable(best), now.Add(i.c.BanTime), best.last)
 		i.unsent.bans[b.key()] = true
-		banned = append(banned, b.told(now))
+		banned = append(banned, b.report(now))
 	}
 }
 
--- a/internal/request/isolator/isolator_test.go
+++ b/internal/request/isolator/isolator_test.go
@@ -172,17 +172,17 @@
 
 // TestBeginBeforeNews has a part begin at one entry before that entry hears of the crashes.
 func TestBeginBeforeNews(t *testing.T) {
-	judge, serving := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
+	decider, serving := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
 	for n, s := range []float64{1, 1.3, 1.6} {
 		news := isolator.Evidence{Crashes: []isolator.Crash{{Upstream: fmt.Sprint(n), Age: 400 * time.Millisecond, Parts: []string{"first"}}}}
 		serving.RecordBegin(at(s+0.2), []string{"first"})
-		judge.Merge(at(s+0.4), news)
+		decider.Merge(at(s+0.4), news)
 		serving.Merge(at(s+0.4), news)
-		judge.Merge(at(s+0.5), serving.TakeUnsent(at(s+0.5)))
-		judge.Decide(at(s + 0.5))
+		decider.Merge(at(s+0.5), serving.TakeUnsent(at(s+0.5)))
+		decider.Decide(at(s + 0.5))
 	}
-	judge.Decide(at(3))
-	if have := banned(judge, at(3)); len(have) != 0 {
+	decider.Decide(at(3))
+	if have := banned(decider, at(3)); len(have) != 0 {
 		t.Errorf("have %v banned, which began 0.2 s after each crash", have)
 	}
 }
@@ -220,7 +220,7 @@
 
 // TestEntriesShareEvidence has two entries see a part of the crashes each, and a third one that decides.
 func TestEntriesShareEvidence(t *testing.T) {
-	a, b, judge := isolator.New(isolator.Config{}), isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
+	a, b, decider := isolator.New(isolator.Config{}), isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
 	crashUnder(a, []string{"first", "bad"}, 1, 3)
 	crashUnder(b, []string{"first", "bad"}, 2)
 	// At the same crash the other entry had a sound call.
@@ -228,19 +228,19 @@
 	b.Merge(at(3.1), a.TakeUnsent(at(3.1)))
 	b.RecordBegin(at(3.2), []string{"first", "sound"})
 	for _, i := range []*isolator.Isolator{a, b} {
-		judge.Merge(at(3.2), isolator.Evidence{Crashes: i.TakeUnsent(at(3.2)).Crashes})
+		decider.Merge(at(3.2), isolator.Evidence{Crashes: i.TakeUnsent(at(3.2)).Crashes})
 	}
 	crashUnder(a, []string{"first", "bad"}, 1, 3)
-	judge.Merge(at(3.3), a.TakeUnsent(at(3.3)))
-	if bans := judge.Decide(at(4)); len(bans) != 1 || !slices.Equal(bans[0].Parts, []string{"bad"}) {
+	decider.Merge(at(3.3), a.TakeUnsent(at(3.3)))
+	if bans := decider.Decide(at(4)); len(bans) != 1 || !slices.Equal(bans[0].Parts, []string{"bad"}) {
 		t.Fatalf("bans %v, want one of bad", bans)
 	}
-	verdict := judge.TakeUnsent(at(4))
+	verdict := decider.TakeUnsent(at(4))
 	if len(verdict.Crashes)+len(verdict.Proofs) != 0 || len(verdict.Bans) != 1 {
-		t.Errorf("the judge tells %+v, want the ban alone", verdict)
+		t.Errorf("the deciding entry sends %+v, want the ban alone", verdict)
 	}
-	if again := judge.TakeUnsent(at(4)); len(again.Bans) != 0 {
-		t.Errorf("the judge tells %+v twice", again)
+	if again := decider.TakeUnsent(at(4)); len(again.Bans) != 0 {
+		t.Errorf("the deciding entry sends %+v twice", again)
 	}
 	for _, i := range []*isolator.Isolator{a, b} {
 		if news := i.Merge(at(4.1), verdict); len(news) != 1 || i.BanRemaining(at(4.1), []string{"bad"}) == 0 {
@@ -251,14 +251,14 @@
 
 // TestLostMessage has the first message about each crash lost.
 func TestLostMessage(t *testing.T) {
-	entry, judge := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
+	entry, decider := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
 	for _, s := range []float64{1, 2, 3} {
 		crashUnder(entry, []string{"bad"}, s)
 		entry.TakeUnsent(at(s))
-		judge.Merge(at(s+0.1), entry.TakeUnsent(at(s+0.1)))
+		decider.Merge(at(s+0.1), entry.TakeUnsent(at(s+0.1)))
 	}
-	if judge.Decide(at(4)); len(banned(judge, at(4))) != 1 {
-		t.Errorf("have %v banned, want the part", banned(judge, at(4)))
+	if decider.Decide(at(4)); len(banned(decider, at(4))) != 1 {
+		t.Errorf("have %v banned, want the part", banned(decider, at(4)))
 	}
 	for range 3 {
 		entry.TakeUnsent(at(4))
@@ -270,16 +270,16 @@
 
 // TestProofEndsBan has an entry know better than the one that decided.
 func TestProofEndsBan(t *testing.T) {
-	judge, entry := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
-	crashUnder(judge, []string{"part"}, 1, 2, 3)
-	judge.Decide(at(4))
+	decider, entry := isolator.New(isolator.Config{}), isolator.New(isolator.Config{})
+	crashUnder(decider, []string{"part"}, 1, 2, 3)
+	decider.Decide(at(4))
 	entry.RecordBegin(at(3.5), []string{"part"})
-	entry.Merge(at(4), judge.TakeUnsent(at(4)))
+	entry.Merge(at(4), decider.TakeUnsent(at(4)))
 	if entry.BanRemaining(at(4), []string{"part"}) != 0 {
 		t.Error("an entry that has proved the part sound accepts the ban")
 	}
-	judge.Merge(at(4.2), entry.TakeUnsent(at(4.2)))
-	if judge.BanRemaining(at(4.2), []string{"part"}) != 0 {
+	decider.Merge(at(4.2), entry.TakeUnsent(at(4.2)))
+	if decider.BanRemaining(at(4.2), []string{"part"}) != 0 {
 		t.Error("the ban outlasts the proof")
 	}
 }
