A crash counts once, also where entries have the upstream's start in different time zones

What callers could see: a request, or a part of prompts, banned after fewer crashes than it takes. Cause: entries identified a process of an upstream by the text of its start, and those that get the list from another entry may have it in another time zone. Class: an identity made of a presentation. Evidence: the test, which failed first (two upstreams for one). Found by reading; whether it happens depends on the time zone of the machines. Change: the start counts in milliseconds. Measured: the test passes.

--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,9 +32,10 @@
 	parts    []string // of a call that had not begun to be answered
 }
 
-// incarnation identifies one process of an upstream.
+// incarnation identifies one process of an upstream, identically at all entries: they may have its start
+// in different time zones.
 func incarnation(u foxtailwharf.Upstream) string {
-	return u.ID + "@" + u.Born.String()
+	return u.ID + "@" + strconv.FormatInt(u.Born.UnixMilli(), 10)
 }
 
 // TakeUnsentBans returns up to limit bans and suspicions found by this entry that the others
--- a/internal/request/forwarder/partban_test.go
+++ b/internal/request/forwarder/partban_test.go
@@ -68,3 +68,22 @@
 		b.t.Errorf("status %d after %d attempts for the call that waits, want %d", a.status, b.ran(a), statuses[1])
 	}
 }
+
+// TestIncarnationInAnotherZone has the same start of an upstream in two time zones, as entries get it from
+// the store and from each other: its crashes must count as those of one upstream.
+func TestIncarnationInAnotherZone(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, breakOff)
+		born := time.Now().Add(-time.Minute)
+		for _, zone := range []*time.Location{time.UTC, time.FixedZone("PST", 8*60*60)} {
+			b.view.Upstreams[0].Born = born.In(zone)
+			b.update()
+			b.call("/tale/1", func(r *http.Request) { r.Header.Set(standin.HeaderCall, "same") })
+			time.Sleep(3 * time.Second)
+		}
+		b.publish()
+		if len(b.published) != 1 {
+			t.Errorf("have crashes of %v, want one upstream", b.published)
+		}
+	})
+}
