--- a/cmd/foxtailwharf/main.go
+++ b/cmd/foxtailwharf/main.go
@@ -36,12 +36,12 @@
 }
 
 func main() {
-	var c cli
-	parser := kong.Parse(&c, kong.Name("foxtailwharf"), kong.Description(description), kong.UsageOnError())
 	// The first signal cancels the context. A second one has no effect, since the shutdown in
-	// progress has its own time limit.
+	// progress has its own time limit. This comes first, since a signal before it ends the process.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	var c cli
+	parser := kong.Parse(&c, kong.Name("foxtailwharf"), kong.Description(description), kong.UsageOnError())
 	parser.BindTo(ctx, (*context.Context)(nil))
 	log := logger.New(logger.Config{Out: logStream(parser.Command()), IsVerbose: c.Verbose})
 	err := parser.Run(log.Logger)
