An engine that its agent reports as started anew is used before the list says so

Cause: a call was sent with the start that the list names, the report names a later one, so that the engine seemed to have ended, and all its crashes had one identity. Class: two sources of one fact, compared as if they were one. Change: a call is sent with the later of the two.

--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -237,6 +237,24 @@
 	}
 }
 
+// TestRestartBeforeList has an engine that has started anew under its ID, as its agent reports, while the
+// list still has the earlier start. Calls that are sent to it now are not lost.
+func TestRestartBeforeList(t *testing.T) {
+	b := newBalancer(listed(1, "near", 1))
+	born, now := start.Add(time.Second), start.Add(2*time.Second)
+	b.Report(now, machine(1), foxtailwharf.UpstreamLoad{Born: born, Weights: 1, Listeners: 1})
+	u, isFound, _ := b.Pick(now, model)
+	if !isFound || !u.Born.Equal(born) {
+		t.Fatalf("have %+v, want the engine with its start as reported", u)
+	}
+	if b.IsLost(now, u.ID, u.Born) {
+		t.Error("the running engine counts as lost")
+	}
+	if !b.IsLost(now, u.ID, start) {
+		t.Error("a call from before the restart does not count as lost")
+	}
+}
+
 // TestStalledIsEjected guards against calls waiting one after the other for an upstream behind a
 // slow link: a single call without a first byte must eject it.
 func TestStalledIsEjected(t *testing.T) {
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -89,7 +89,12 @@
 	if best == nil {
 		return chosen, false, hasCandidates
 	}
-	return best.Upstream, true, true
+	chosen = best.Upstream
+	// The agent may report a restart before the list does, long before it while the store is away.
+	if best.reportAge(now) < stateLifetime && best.load.Born.After(chosen.Born) {
+		chosen.Born = best.load.Born
+	}
+	return chosen, true, true
 }
 
 // consider adds an upstream to its group.
