Which entries decide on bans is worked out once a second

Entries ranked all others ten times a second, about 0.0025 of a core in a fleet of 149 by count of hashes (an estimate, not measured), a tenth of what an entry takes there. Once a second is enough: an entry that has ended stays listed for longer.

--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -37,20 +37,25 @@
 
 // banSender sends this entry's new bans to the other entries.
 type banSender struct {
-	d      *Distributor
-	sentAt time.Time // when all bans were last sent
-	done   chan struct{}
+	d    *Distributor
+	done chan struct{}
+	// deciding holds the other entries that decide, and isDeciding is set if this one does, as of
+	// updatedAt. All bans are sent at the same time.
+	deciding   []netip.AddrPort
+	isDeciding bool
+	updatedAt  time.Time
 }
 
 func (s *banSender) run(ctx context.Context) {
 	defer close(s.done)
 	for sleeper.Sleep(ctx, warnInterval) {
-		s.d.shareBans(ctx)
-		s.d.shareEvidence(ctx)
-		if time.Since(s.sentAt) >= resendInterval {
-			s.sentAt = time.Now()
-			s.d.resendBans(ctx)
+		if time.Since(s.updatedAt) >= resendInterval {
+			s.updatedAt = time.Now()
+			s.deciding, s.isDeciding = s.d.decidingEntries()
+			s.resendBans(ctx)
 		}
+		s.d.shareBans(ctx)
+		s.shareEvidence(ctx)
 	}
 }
 
@@ -104,46 +109,47 @@
 
 // shareEvidence sends the other entries what this one has found out about parts of prompts that crash
 // engines. Proofs are many and go only to the entries that decide, unless they change a ban.
-func (d *Distributor) shareEvidence(ctx context.Context) {
-	deciding, isDeciding := d.decidingEntries()
-	evidence := d.forwarder.Isolate(isDeciding)
+func (s *banSender) shareEvidence(ctx context.Context) {
+	evidence := s.d.forwarder.Isolate(s.isDeciding)
 	warning := isolator.ToWire(evidence)
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
-	if evidence.IsLifting {
-		deciding = d.otherEntries()
-	}
 	if len(warning.Proofs) > 0 {
-		for _, to := range deciding {
+		receivers := s.deciding
+		if evidence.IsLifting {
+			receivers = s.d.otherEntries()
+		}
+		for _, to := range receivers {
 			warnings[to] = warning
 		}
 	}
 	if len(warning.Crashes)+len(warning.PartBans) > 0 {
 		rest := wire.FleetWarning{Crashes: warning.Crashes, PartBans: warning.PartBans}
-		for _, to := range d.otherEntries() {
+		for _, to := range s.d.otherEntries() {
 			if _, isDeciding := warnings[to]; !isDeciding {
 				warnings[to] = rest
 			}
 		}
 	}
 	if len(warnings) > 0 {
-		d.warn(ctx, warnings)
+		s.d.warn(ctx, warnings)
 	}
 }
 
 // resendBans sends all bans that are in force to all other entries, if this entry is one that decides.
-func (d *Distributor) resendBans(ctx context.Context) {
-	warning := wire.FleetWarning{Bans: quarantiner.ToWire(d.forwarder.Bans(maxWarnBans)), PartBans: isolator.BansToWire(d.forwarder.PartBans())}
-	if len(warning.Bans)+len(warning.PartBans) == 0 {
+func (s *banSender) resendBans(ctx context.Context) {
+	if !s.isDeciding {
 		return
 	}
-	if _, isDeciding := d.decidingEntries(); !isDeciding {
+	f := s.d.forwarder
+	warning := wire.FleetWarning{Bans: quarantiner.ToWire(f.Bans(maxWarnBans)), PartBans: isolator.BansToWire(f.PartBans())}
+	if len(warning.Bans)+len(warning.PartBans) == 0 {
 		return
 	}
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
-	for _, to := range d.otherEntries() {
+	for _, to := range s.d.otherEntries() {
 		warnings[to] = warning
 	}
-	d.warn(ctx, warnings)
+	s.d.warn(ctx, warnings)
 }
 
 // decidersPerDomain is the number of entries of a failure domain that decide on bans of parts of prompts.
