Entries log the limits that upstreams name

No log could tell whether an entry had read the limit. Nothing is decided by it yet. The stand-in engine can name a limit and says which engine a call reached.

--- a/call.go
+++ b/call.go
@@ -50,6 +50,10 @@
 	// IsAuthentic is true if the response has the ID of the call and a signature of the upstream.
 	IsAuthentic bool
 	Weights     int64 // version of the weights that answered; 0 if the header has none
+	// HasLimit is true if the upstream names a limit: the calls a second that it takes from all
+	// processes together, for as long as its responses say so.
+	HasLimit bool
+	Limit    float64
 }
 
 // CallDialect translates calls between HTTP messages and the types of this package.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -70,6 +70,9 @@
 	}
 	defer answer.Close()
 	reply := a.x.f.c.Dialect.ReadReply(a.x.call.ID, answer.Status, answer.Header)
+	if reply.HasLimit {
+		a.log("upstream names a limit", zap.Float64("PerSecond", reply.Limit))
+	}
 	switch {
 	case reply.IsNotRun:
 		return a.handleRejected(answer, reply)
--- a/standin/simulator/crash_test.go
+++ b/standin/simulator/crash_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-func (l *crashLoad) arrive(call string) {
+func (l *crashLoad) arrive(call, _ string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.arrived[call] = append(l.arrived[call], time.Now())
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -40,7 +40,7 @@
 	// Domains is the number of failure domains, each in a region of its own; 0 means three.
 	Domains int
 	// OnArrive is called when a call reaches an engine, and OnStart when it begins to run there.
-	OnArrive func(call string)
+	OnArrive func(call, engine string)
 	OnStart  func(call, engine string, weights int64)
 	// CrashingCalls are calls, and CrashingParts parts of prompts, that crash the engines.
 	CrashingCalls []string
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -38,7 +39,7 @@
 	// Manifest returns the manifest of a version. A load fails if the staged chunks differ from it.
 	Manifest func(version int64) foxtailwharf.Manifest
 	// OnArrive is called when a call reaches the engine.
-	OnArrive func(call string)
+	OnArrive func(call, engine string)
 	// OnStart is called when a call begins to run, with the version that the engine holds.
 	OnStart func(call, engine string, weights int64)
 	// CrashingCalls are calls, and CrashingParts parts of prompts, that crash the engine when it would
@@ -62,6 +63,7 @@
 	running        int
 	queue          []*queuedCall
 	isDown         bool
+	limit          string // calls a second that the responses name; empty for none
 	processContext context.Context
 	endProcess     context.CancelFunc
 }
@@ -99,6 +101,31 @@
 	})
 }
 
+// NameLimit makes all responses from now on name a limit of calls a second.
+func (e *SlotEngine) NameLimit(perSecond float64) {
+	e.setLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+}
+
+// LiftLimit ends NameLimit.
+func (e *SlotEngine) LiftLimit() {
+	e.setLimit("")
+}
+
+func (e *SlotEngine) setLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
+}
+
+// writeLimit adds the limit to the header of a response.
+func (e *SlotEngine) writeLimit(h http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limit != "" {
+		h.Set(HeaderLimit, e.limit)
+	}
+}
+
 // CorruptChunk flips a bit of a staged chunk.
 func (e *SlotEngine) CorruptChunk(number int) {
 	e.mu.Lock()
@@ -133,11 +160,12 @@
 	}
 	w.Header().Set(HeaderCall, r.Header.Get(HeaderCall))
 	if e.c.OnArrive != nil {
-		e.c.OnArrive(r.Header.Get(HeaderCall))
+		e.c.OnArrive(r.Header.Get(HeaderCall), e.c.ID)
 	}
 	start, refusal := e.admit(r)
 	if refusal != 0 {
 		w.Header().Set(HeaderNotRun, "1")
+		e.writeLimit(w.Header())
 		w.WriteHeader(refusal)
 		return
 	}
@@ -217,6 +245,7 @@
 			e.Crash(e.c.CrashRestart, false)
 			panic(http.ErrAbortHandler)
 		}
+		e.writeLimit(header)
 		delay = eventInterval
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", event, r.Header.Get(HeaderCall), event); err != nil {
 			return
