--- a/standin/simulator/harness_test.go
+++ b/standin/simulator/harness_test.go
@@ -55,6 +55,7 @@
 	status  int
 	first   time.Duration // until the first event
 	sent    time.Time
+	ended   time.Time
 	// retryAfter is when the caller of a refused call should come back; 0 for never.
 	retryAfter time.Duration
 }
@@ -121,6 +122,7 @@
 		res.isWhole = h.readEvents(response, id, &res)
 		_ = response.Body.Close()
 	}
+	res.ended = time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.results[route] = append(h.results[route], res)
