Upstreams get no more calls than the limit that they name, whoever sends them

Cause: nothing read the limit; class: what an upstream says of itself in its answers was forwarded and not used, and nothing in the fleet counts the calls of all entries. One entry (rendezvous hash, of the upstream's failure domain first) now keeps the limit as a token bucket (granter); the others ask it for a permit before each attempt, first or repeated. Without one a call goes elsewhere, waits for the permit, or is refused as soon as the permit is. The keeper announces a limit and its end to all entries; a response without the limit to a call sent after it was learned lifts it. An entry that is asked although it knows one before it forwards the request, so that two lists of entries do not mean two buckets. Weighed: a share for each entry (400 entries at one a second: a share is one call in 400 s), the agent beside the upstream as keeper (plain services have none).

--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -186,5 +186,8 @@
 		d.forwarder.MergeBan(ban)
 	}
 	d.forwarder.MergeEvidence(isolator.FromWire(warning))
+	for _, l := range warning.Limits {
+		d.learnLimit(limitFromWire(l))
+	}
 	return wire.FleetWarning{}, nil
 }
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -83,6 +83,7 @@
 	servers   []*server.Server
 	tasks     []task
 	cancel    context.CancelFunc
+	limits    *limitKeeper
 	isLeaving atomic.Bool
 	notifyNow chan struct{} // capacity 1; makes the next notices to agents due
 
@@ -132,7 +133,10 @@
 		d.meetDeadline = time.Now().Add(meetWait)
 	}
 	d.peerRandom = d.random("peers")
-	d.assigner = assigner.New(balancer.New(balancer.Config{FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer")}))
+	d.limits = newLimitKeeper(d)
+	d.assigner = assigner.New(balancer.New(balancer.Config{
+		FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer"), OnAsk: d.limits.wakeUp,
+	}))
 	d.requester = requester.New(requester.Config{Network: c.Network})
 	d.forwarder = forwarder.New(forwarder.Config{
 		Dialect:             c.Dialect,
@@ -195,6 +199,7 @@
 	messenger.Register(d.messages, methodVouch, d.handleVouch)
 	messenger.Register(d.messages, methodWarn, d.handleWarn)
 	messenger.Register(d.messages, methodMeet, d.handleMeet)
+	messenger.Register(d.messages, methodPermit, d.limits.handlePermit)
 	listeners := []endpoint{
 		{s.PeerAddress(s.Address), d.peersMux()},
 		{s.Ready, http.HandlerFunc(d.serveReady)},
@@ -217,6 +222,7 @@
 		&banSender{d: d, done: make(chan struct{})},
 		&sourcePoller{d: d, done: make(chan struct{})},
 		&discovery{d: d, done: make(chan struct{})},
+		d.limits,
 	}
 	for _, task := range d.tasks {
 		go task.run(ctx)
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -39,9 +39,15 @@
 
 // waiter is a call in the queue. The channel has a buffer of one, so that dispatch never blocks.
 type waiter struct {
-	id       uint64
-	request  Request
-	assigned chan foxtailwharf.Upstream
+	id      uint64
+	request Request
+	ended   chan assignment
+}
+
+// assignment ends the wait of a call: with an upstream, or with a refusal.
+type assignment struct {
+	upstream foxtailwharf.Upstream
+	refusal  *foxtailwharf.Refusal
 }
 
 // New returns an assigner that owns the balancer: nothing else may use it.
@@ -77,6 +83,28 @@
 	a.Update(func(b *balancer.Balancer) { b.Finished(time.Now(), id, result) })
 }
 
+// HandleReply passes what a response of an upstream says of its limit to the balancer. It reports
+// whether this entry knew otherwise.
+func (a *Assigner) HandleReply(id string, sentAt time.Time, reply foxtailwharf.Reply) (isNew bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.HandleReply(time.Now(), id, sentAt, reply)
+}
+
+// LearnLimit passes a limit that another entry has announced to the balancer, as Balancer.LearnLimit does.
+func (a *Assigner) LearnLimit(named foxtailwharf.NamedLimit) (isNew bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.LearnLimit(time.Now(), named)
+}
+
+// TakeAsks returns the requests to the entries that keep limits, as Balancer.TakeAsks does.
+func (a *Assigner) TakeAsks() []balancer.Ask {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.TakeAsks(time.Now())
+}
+
 // Waiting returns the length of the queue.
 func (a *Assigner) Waiting() int {
 	a.mu.Lock()
@@ -117,8 +145,8 @@
 	timer := time.NewTimer(time.Until(request.WaitUntil))
 	defer timer.Stop()
 	select {
-	case u = <-w.assigned:
-		return u, nil
+	case end := <-w.ended:
+		return end.upstream, end.refusal
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -131,29 +159,41 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	if _, _, hasCandidates := a.balancer.Pick(now, request.Requirements); !hasCandidates {
+	if !a.balancer.HasCandidates(now, request.Requirements) {
+		if refusal := a.limitRefusal(now, request.Requirements); refusal != nil {
+			return nil, foxtailwharf.Upstream{}, refusal
+		}
 		return nil, foxtailwharf.Upstream{}, foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "no upstream is eligible for the call")
 	}
 	a.lastID++
-	w := &waiter{id: a.lastID, request: request, assigned: make(chan foxtailwharf.Upstream, 1)}
+	w := &waiter{id: a.lastID, request: request, ended: make(chan assignment, 1)}
 	a.waiters[a.lastID] = w
 	a.queue.Add(queuer.Item{ID: a.lastID, Service: request.Requirements.Service, Rank: request.Rank, Arrived: request.Arrived, StartBy: request.StartBy})
 	a.dispatch(now)
 	select {
-	case u := <-w.assigned:
-		return nil, u, nil
+	case end := <-w.ended:
+		return nil, end.upstream, end.refusal
 	default:
 		return w, foxtailwharf.Upstream{}, nil
 	}
 }
 
+// limitRefusal returns the refusal of a call if all upstreams that could take it are at the limit that
+// they have named, else nil. The lock must be held.
+func (a *Assigner) limitRefusal(now time.Time, requirements balancer.Requirements) *foxtailwharf.Refusal {
+	if !a.balancer.IsLimited(now, requirements) {
+		return nil
+	}
+	return foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "all upstreams are at the limits that they have named")
+}
+
 // cancelWait removes a call from the queue, unless it was assigned an upstream meanwhile.
 func (a *Assigner) cancelWait(w *waiter) (foxtailwharf.Upstream, *foxtailwharf.Refusal) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	select {
-	case u := <-w.assigned:
-		return u, nil
+	case end := <-w.ended:
+		return end.upstream, end.refusal
 	default:
 	}
 	a.queue.Remove(w.id)
@@ -178,14 +218,25 @@
 		w := a.waiters[item.ID]
 		requirements := w.request.Requirements
 		requirements.IsOnlyWaiting = a.queue.Len() == 1
-		u, isFound, _ := a.balancer.Pick(now, requirements)
-		if !isFound {
-			exhausted[class{item.Service, item.Rank}] = true
+		u, isFound, hasCandidates := a.balancer.Pick(now, requirements)
+		if isFound {
+			a.balancer.Sent(now, u.ID, w.request.Requirements.Tokens)
+			a.endWait(w, assignment{upstream: u})
 			continue
 		}
-		a.queue.Remove(item.ID)
-		delete(a.waiters, item.ID)
-		a.balancer.Sent(now, u.ID, w.request.Requirements.Tokens)
-		w.assigned <- u
+		if !hasCandidates {
+			if refusal := a.limitRefusal(now, requirements); refusal != nil {
+				a.endWait(w, assignment{refusal: refusal})
+				continue
+			}
+		}
+		exhausted[class{item.Service, item.Rank}] = true
 	}
 }
+
+// endWait removes a call from the queue and tells it the result. The lock must be held.
+func (a *Assigner) endWait(w *waiter, end assignment) {
+	a.queue.Remove(w.id)
+	delete(a.waiters, w.id)
+	w.ended <- end
+}
--- a/internal/request/assigner/assigner_test.go
+++ b/internal/request/assigner/assigner_test.go
@@ -127,3 +127,32 @@
 		<-q.done
 	}
 }
+
+// TestLimitRefusesAtOnce checks that a call that waits for a permit is refused as soon as the permit is, and
+// that the next one is not even queued.
+func TestLimitRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAssigner(1)
+		report(a, 1, 0)
+		id := machine(1).String()
+		a.HandleReply(id, time.Now(), foxtailwharf.Reply{IsAuthentic: true, HasLimit: true, Limit: 1})
+		first := acquire(t.Context(), a, queuer.Rank{}, 3*time.Second)
+		synctest.Wait()
+		if a.Waiting() != 1 {
+			t.Fatalf("%d calls wait for a permit, want 1", a.Waiting())
+		}
+		for _, ask := range a.TakeAsks() {
+			a.Update(func(b *balancer.Balancer) {
+				b.HandlePermit(time.Now(), ask.Upstream, foxtailwharf.Permit{RetryIn: 5 * time.Second})
+			})
+		}
+		<-first.done
+		second := acquire(t.Context(), a, queuer.Rank{}, 3*time.Second)
+		<-second.done
+		for _, q := range []*acquisition{first, second} {
+			if q.refusal == nil || q.refusal.Reason != foxtailwharf.ReasonQueueFull || q.after > 0 {
+				t.Errorf("have refusal %v after %s, want %s at once", q.refusal, q.after, foxtailwharf.ReasonQueueFull)
+			}
+		}
+	})
+}
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -24,6 +24,8 @@
 type Config struct {
 	FailureDomain string
 	Random        *rand.Rand
+	// OnAsk is called when TakeAsks has requests to the entries that keep limits. It must not block.
+	OnAsk func()
 }
 
 // Balancer holds what one entry knows of the upstreams. It is not safe for concurrent use.
@@ -35,6 +37,7 @@
 	releases  map[string][]release // by service, in ascending order of version
 	entries   int                  // that share the upstreams, this one included
 	reporting map[string]bool      // engines whose agents report here, by ID; nil for all
+	lifted    []liftedLimit        // for TakeAsks
 }
 
 // release is a version of a service's weights and when it replaces older ones.
@@ -193,6 +196,9 @@
 	}
 	u.ownInFlight++
 	u.sentSinceReport++
+	if u.limit != nil {
+		u.limit.usePermit(now)
+	}
 	if tokens > 0 {
 		u.unreported = append(u.unreported, sentPrompt{at: now, tokens: tokens})
 	}
--- /dev/null
+++ b/internal/request/balancer/limit.go
@@ -0,0 +1,177 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf"
+)
+
+// limit is what this entry knows of the limit that an upstream has named for all processes together.
+// Calls are sent there only with permits of the entry that keeps it.
+type limit struct {
+	perSecond float64
+	namedAt   time.Time // newest response that names it
+	learnedAt time.Time // a response to an earlier call does not lift it
+	permits   []time.Time
+	unused    int       // permits that have expired
+	retryAt   time.Time // no permit is granted before
+	isWanted  bool      // a call would have been sent with a permit
+	isAsking  bool
+	isUntold  bool // the entry that keeps the limit may not know it
+}
+
+// hasPermit drops expired permits and reports whether one is left.
+func (l *limit) hasPermit(now time.Time) bool {
+	held := len(l.permits)
+	l.permits = slices.DeleteFunc(l.permits, func(until time.Time) bool { return now.After(until) })
+	l.unused += held - len(l.permits)
+	return len(l.permits) > 0
+}
+
+// usePermit spends the oldest permit.
+func (l *limit) usePermit(now time.Time) {
+	if l.hasPermit(now) {
+		l.permits = l.permits[1:]
+	}
+}
+
+// Ask is a request to the entry that keeps the limit of an upstream.
+type Ask struct {
+	Upstream foxtailwharf.Upstream
+	Request  foxtailwharf.PermitRequest
+}
+
+// HandleReply records whether a response of an upstream to a call that was sent at a time names a
+// limit. It reports whether this entry knew otherwise.
+func (b *Balancer) HandleReply(now time.Time, id string, sentAt time.Time, reply foxtailwharf.Reply) (isNew bool) {
+	u := b.byID[id]
+	switch {
+	case u == nil || reply.IsMisdirected:
+		return false
+	case reply.HasLimit && (reply.IsAuthentic || reply.IsNotRun):
+		return b.name(now, u, reply.Limit, now, true)
+	case !reply.HasLimit && reply.IsAuthentic && !reply.IsNotRun && u.limit != nil && sentAt.After(u.limit.learnedAt):
+		b.lifted = append(b.lifted, liftedLimit{upstream: u.Upstream, at: now})
+		u.limit = nil
+		b.announceAsks()
+		return true
+	default:
+		return false
+	}
+}
+
+// liftedLimit is a limit of which the entry that keeps it has to be told that it is lifted.
+type liftedLimit struct {
+	upstream foxtailwharf.Upstream
+	at       time.Time
+}
+
+// name sets the limit of an upstream. It reports whether the limit has changed.
+func (b *Balancer) name(now time.Time, u *upstream, perSecond float64, namedAt time.Time, isUntold bool) (isNew bool) {
+	if u.limit == nil {
+		u.limit = &limit{learnedAt: now}
+		isNew = true
+	}
+	l := u.limit
+	if namedAt.Before(l.namedAt) {
+		return false
+	}
+	isNew = isNew || l.perSecond != perSecond
+	l.perSecond, l.namedAt = perSecond, namedAt
+	if isNew && isUntold {
+		l.isUntold = true
+		b.announceAsks()
+	}
+	return isNew
+}
+
+// LearnLimit takes over a limit, or its end, that another entry has announced. It reports whether this
+// entry knew otherwise.
+func (b *Balancer) LearnLimit(now time.Time, named foxtailwharf.NamedLimit) (isNew bool) {
+	u := b.byID[named.Upstream]
+	if u == nil || u.Born.UnixMilli() != named.Born.UnixMilli() {
+		return false
+	}
+	at := now.Add(-named.Age)
+	if !named.IsLifted {
+		return b.name(now, u, named.PerSecond, at, false)
+	}
+	if u.limit == nil || at.Before(u.limit.namedAt) {
+		return false
+	}
+	u.limit = nil
+	return true
+}
+
+// TakeAsks returns the requests that are due. Each has to be answered with HandlePermit.
+func (b *Balancer) TakeAsks(now time.Time) (asks []Ask) {
+	for _, l := range b.lifted {
+		asks = append(asks, Ask{Upstream: l.upstream, Request: foxtailwharf.PermitRequest{Limit: foxtailwharf.NamedLimit{
+			Upstream: l.upstream.ID, Born: l.upstream.Born, IsLifted: true, Age: now.Sub(l.at),
+		}}})
+	}
+	b.lifted = nil
+	for _, u := range b.byID {
+		l := u.limit
+		if l == nil || l.isAsking || (!l.isUntold && !l.isWanted) {
+			continue
+		}
+		request := foxtailwharf.PermitRequest{
+			Limit:    foxtailwharf.NamedLimit{Upstream: u.ID, Born: u.Born, PerSecond: l.perSecond, Age: now.Sub(l.namedAt)},
+			IsWanted: l.isWanted, Unused: l.unused,
+		}
+		l.isAsking, l.isWanted, l.isUntold, l.unused = true, false, false, 0
+		asks = append(asks, Ask{Upstream: u.Upstream, Request: request})
+	}
+	return asks
+}
+
+// HandlePermit records the answer to a request. A granted permit has to be valid from now on.
+func (b *Balancer) HandlePermit(now time.Time, asked foxtailwharf.Upstream, p foxtailwharf.Permit) {
+	u := b.byID[asked.ID]
+	if u == nil || u.limit == nil || !u.Born.Equal(asked.Born) {
+		return
+	}
+	l := u.limit
+	l.isAsking, l.isWanted = false, false
+	switch {
+	case p.IsLifted:
+		u.limit = nil
+	case p.IsGranted:
+		l.permits = append(l.permits, now.Add(foxtailwharf.PermitLife))
+	case p.RetryIn > 0:
+		l.retryAt = now.Add(p.RetryIn)
+	}
+}
+
+// wantPermit makes a request for a permit due.
+func (b *Balancer) wantPermit(l *limit) {
+	if !l.isWanted {
+		l.isWanted = true
+		b.announceAsks()
+	}
+}
+
+// announceAsks makes known that TakeAsks has requests.
+func (b *Balancer) announceAsks() {
+	if b.c.OnAsk != nil {
+		b.c.OnAsk()
+	}
+}
+
+// IsLimited reports whether no upstream can take a call because of the limits that upstreams have
+// named alone: this entry has no permit, and the entries that keep the limits have just refused one.
+func (b *Balancer) IsLimited(now time.Time, req Requirements) (isLimited bool) {
+	p := picker{b: b, now: now, req: &req, oldestAllowed: b.oldestAllowed(now, req.Service)}
+	for _, u := range b.byService[req.Service] {
+		if !p.isEligible(u, u.reportAge(now)) {
+			continue
+		}
+		if u.limit == nil || !u.limit.retryAt.After(now) || u.limit.hasPermit(now) {
+			return false
+		}
+		isLimited = true
+	}
+	return isLimited
+}
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -64,6 +64,7 @@
 	ejected            // has failed several calls in a row
 	congested          // behind a congested link
 	notReporting       // its agent does not report to this entry
+	limited            // this entry has no permit to send it a call
 	groupCount
 )
 
@@ -76,16 +77,35 @@
 	counts        [groupCount]int
 	best          [groupCount]*upstream // cheapest with capacity, of each group
 	costs         [groupCount]float64   // of best
+	// limitedIn and limitedCost are the group and the cost that the best of the limited ones would have.
+	limitedIn   group
+	limitedCost float64
 }
 
-// Pick returns the upstream with the lowest cost among those with capacity. hasCandidates is
-// false if no upstream of the service is eligible for the call, whatever its load.
-func (b *Balancer) Pick(now time.Time, req Requirements) (chosen foxtailwharf.Upstream, isFound, hasCandidates bool) {
-	p := picker{b: b, now: now, req: &req, oldestAllowed: b.oldestAllowed(now, req.Service)}
+// HasCandidates reports whether an upstream of the service is eligible for the call, whatever its load.
+func (b *Balancer) HasCandidates(now time.Time, req Requirements) bool {
+	_, _, hasCandidates := b.newPicker(now, &req).result()
+	return hasCandidates
+}
+
+// newPicker returns a picker that has considered all upstreams of a service.
+func (b *Balancer) newPicker(now time.Time, req *Requirements) *picker {
+	p := &picker{b: b, now: now, req: req, oldestAllowed: b.oldestAllowed(now, req.Service)}
 	for _, u := range b.byService[req.Service] {
 		p.consider(u)
 	}
-	best, hasCandidates := p.result()
+	return p
+}
+
+// Pick returns the upstream with the lowest cost among those with capacity. hasCandidates is
+// false if no upstream of the service is eligible for the call, whatever its load. If the call would
+// rather be sent to an upstream that has named a limit, a request for a permit becomes due.
+func (b *Balancer) Pick(now time.Time, req Requirements) (chosen foxtailwharf.Upstream, isFound, hasCandidates bool) {
+	p := b.newPicker(now, &req)
+	best, bestIn, hasCandidates := p.result()
+	if p.wouldPreferLimited(best, bestIn) {
+		b.wantPermit(p.best[limited].limit)
+	}
 	if best == nil {
 		return chosen, false, hasCandidates
 	}
@@ -104,6 +124,10 @@
 		return
 	}
 	g := p.group(u, age)
+	if u.limit != nil && !u.limit.hasPermit(p.now) {
+		p.considerLimited(u, g, age)
+		return
+	}
 	p.counts[g]++
 	if !p.hasCapacity(u, age) {
 		return
@@ -113,6 +137,33 @@
 	}
 }
 
+// considerLimited adds an upstream that needs a permit, unless none is to be had now.
+func (p *picker) considerLimited(u *upstream, in group, age time.Duration) {
+	if u.limit.retryAt.After(p.now) {
+		return
+	}
+	p.counts[limited]++
+	if !p.hasCapacity(u, age) {
+		return
+	}
+	cost := p.cost(u, age)
+	if p.best[limited] == nil || in < p.limitedIn || (in == p.limitedIn && cost < p.limitedCost) {
+		p.best[limited], p.limitedIn, p.limitedCost = u, in, cost
+	}
+}
+
+// wouldPreferLimited reports whether an upstream would be chosen if this entry had a permit for it.
+func (p *picker) wouldPreferLimited(best *upstream, in group) bool {
+	switch {
+	case p.best[limited] == nil:
+		return false
+	case best == nil || in == limited:
+		return true
+	default:
+		return p.limitedIn < in || (p.limitedIn == in && p.limitedCost < p.costs[in])
+	}
+}
+
 func (p *picker) group(u *upstream, age time.Duration) group {
 	switch {
 	case p.req.NeedsWeights && !u.isReporting:
@@ -126,28 +177,31 @@
 	}
 }
 
-// result returns the cheapest upstream with capacity of the first group that is not empty; nil if
-// none of that group has capacity.
-func (p *picker) result() (best *upstream, hasCandidates bool) {
+// result returns the cheapest upstream with capacity of the first group that is not empty, with its
+// group; nil if none of that group has capacity.
+func (p *picker) result() (best *upstream, in group, hasCandidates bool) {
 	sound := p.counts[healthy] + p.counts[ejected]
 	switch {
 	case sound > 0 && float64(p.counts[ejected]) > maxEjectedFraction*float64(sound):
-		return p.cheaper(healthy, ejected), true
+		in = p.cheaper(healthy, ejected)
+		return p.best[in], in, true
 	case sound > 0:
-		return p.best[healthy], true
-	case p.counts[congested] > 0:
-		return p.best[congested], true
-	default:
-		return p.best[notReporting], p.counts[notReporting] > 0
+		return p.best[healthy], healthy, true
+	}
+	for g := congested; g < limited; g++ {
+		if p.counts[g] > 0 {
+			return p.best[g], g, true
+		}
 	}
+	return nil, limited, p.counts[limited] > 0
 }
 
-// cheaper returns the cheapest upstream of two groups.
-func (p *picker) cheaper(a, b group) *upstream {
+// cheaper returns the one of two groups with the cheaper upstream.
+func (p *picker) cheaper(a, b group) group {
 	if p.best[a] == nil || (p.best[b] != nil && p.costs[b] < p.costs[a]) {
-		return p.best[b]
+		return b
 	}
-	return p.best[a]
+	return a
 }
 
 // cost returns the cost of an upstream for a call, in calls in flight. The upstream with the
--- a/internal/request/balancer/upstream.go
+++ b/internal/request/balancer/upstream.go
@@ -47,6 +47,7 @@
 	ejections         int
 	ejectedUntil      time.Time
 	fullUntil         time.Time
+	limit             *limit // that it has named; nil for none
 }
 
 // sentPrompt is the prompt of a call that the last report may not include.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -64,14 +64,15 @@
 	if a.x.service.Engine != nil {
 		a.x.f.c.NotifyAgent(a.upstream, a.x.call.PromptTokens)
 	}
+	sentAt := time.Now()
 	answer, err := a.x.f.c.Requester.Do(attemptCtx, a.request())
 	if err != nil {
 		return a.handleSendError(attemptCtx, err)
 	}
 	defer answer.Close()
 	reply := a.x.f.c.Dialect.ReadReply(a.x.call.ID, answer.Status, answer.Header)
-	if reply.HasLimit {
-		a.log("upstream names a limit", zap.Float64("PerSecond", reply.Limit))
+	if a.x.f.c.Assigner.HandleReply(a.upstream.ID, sentAt, reply) {
+		a.log("upstream has changed its limit", zap.Bool("HasLimit", reply.HasLimit), zap.Float64("PerSecond", reply.Limit))
 	}
 	switch {
 	case reply.IsNotRun:
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -301,6 +301,25 @@
 	Name string `json:"Name"`
 }
 
+// FleetLimit is the limit that an upstream has named for the calls of all
+// processes together.
+type FleetLimit struct {
+	// time since the response that said so
+	AgeMillis int64 `json:"AgeMillis,omitempty,omitzero"`
+
+	// start of the upstream's process, as a Unix time
+	BornMillis int64 `json:"BornMillis"`
+
+	// the upstream names no limit any more
+	IsLifted bool `json:"IsLifted,omitempty,omitzero"`
+
+	// calls a second
+	PerSecond float64 `json:"PerSecond,omitempty,omitzero"`
+
+	// ID
+	Upstream string `json:"Upstream"`
+}
+
 // FleetMeeting makes an entry known to another one, which answers with the entries
 // that it knows.
 type FleetMeeting struct {
@@ -365,6 +384,43 @@
 	Service string `json:"Service,omitempty,omitzero"`
 }
 
+// FleetPermit answers a FleetPermitRequest.
+type FleetPermit struct {
+	// one call may be sent
+	IsGranted bool `json:"IsGranted,omitempty,omitzero"`
+
+	// the upstream names no limit any more
+	IsLifted bool `json:"IsLifted,omitempty,omitzero"`
+
+	// time until the asker should ask again for what was not granted
+	RetryMillis int64 `json:"RetryMillis,omitempty,omitzero"`
+
+	// time until the call may be sent
+	StartsInMillis int64 `json:"StartsInMillis,omitempty,omitzero"`
+}
+
+// FleetPermitRequest asks the entry that keeps the limit of an upstream for one
+// call; the answer is a FleetPermit.
+type FleetPermitRequest struct {
+	// address of the entry that would send the call
+	Asker string `json:"Asker"`
+
+	// failure domain of the upstream
+	Domain string `json:"Domain,omitempty,omitzero"`
+
+	// another entry was asked first and has forwarded the request
+	IsForwarded bool `json:"IsForwarded,omitempty,omitzero"`
+
+	// false if the request only tells the limit
+	IsWanted bool `json:"IsWanted,omitempty,omitzero"`
+
+	// Limit corresponds to the JSON schema field "Limit".
+	Limit FleetLimit `json:"Limit"`
+
+	// earlier permits that have expired without a call
+	Unused int `json:"Unused,omitempty,omitzero"`
+}
+
 // FleetQuestion asks another entry what it knows of the platform's store.
 type FleetQuestion struct {
 	// how long the answer may be held until there is something new
@@ -453,7 +509,7 @@
 }
 
 // FleetWarning tells another entry what is held against requests that crash
-// upstreams; the answer is an empty one.
+// upstreams, and the limits that upstreams have named; the answer is an empty one.
 type FleetWarning struct {
 	// Bans corresponds to the JSON schema field "Bans".
 	Bans []Quarantine `json:"Bans,omitempty,omitzero"`
@@ -461,6 +517,9 @@
 	// Crashes corresponds to the JSON schema field "Crashes".
 	Crashes []PartCrash `json:"Crashes,omitempty,omitzero"`
 
+	// Limits corresponds to the JSON schema field "Limits".
+	Limits []FleetLimit `json:"Limits,omitempty,omitzero"`
+
 	// PartBans corresponds to the JSON schema field "PartBans".
 	PartBans []PartBan `json:"PartBans,omitempty,omitzero"`
 
