--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -266,6 +266,7 @@
 		return (d.c.Clock() - v.ConfiguredAt).Milliseconds()
 	})
 	d.meter.Gauge("Upstreams", func() int64 { return int64(len(d.follower.View().Upstreams)) })
+	d.meter.Gauge("LimitedUpstreams", func() int64 { return int64(d.assigner.Limited()) })
 	d.meter.Gauge("OtherEntries", func() int64 { return int64(len(d.otherEntries())) })
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", d.meter.ServeText)
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -105,6 +105,13 @@
 	return a.balancer.TakeAsks(time.Now())
 }
 
+// Limited returns the number of upstreams that have named a limit.
+func (a *Assigner) Limited() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.Limited()
+}
+
 // Waiting returns the length of the queue.
 func (a *Assigner) Waiting() int {
 	a.mu.Lock()
--- a/internal/request/balancer/limit.go
+++ b/internal/request/balancer/limit.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// Limited returns the number of upstreams that have named a limit.
+func (b *Balancer) Limited() (count int) {
+	for _, u := range b.byID {
+		if u.limit != nil {
+			count++
+		}
+	}
+	return count
+}
+
 // Ask is a request to the entry that keeps the limit of an upstream.
 type Ask struct {
 	Upstream foxtailwharf.Upstream
