--- a/standin/fleetstore.go
+++ b/standin/fleetstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 // can be made unavailable on its own.
 type FleetStore struct {
 	mu                sync.Mutex
+	era               uint64 // incremented by each Restore
 	revision          uint64
 	compactedRevision uint64 // changes up to this revision are no longer known
 	configuration     *foxtailwharf.Configuration
@@ -105,6 +107,38 @@
 	s.update(func(revision uint64) { s.releases[r.Model] = storedRelease{release: r, revision: revision} })
 }
 
+// StoreCopy is the content of a store at some time.
+type StoreCopy struct {
+	revision      uint64
+	configuration *foxtailwharf.Configuration
+	changedAt     map[foxtailwharf.FleetSubject]uint64
+	upstreams     map[string]storedUpstream
+	removed       map[string]uint64
+	releases      map[string]storedRelease
+}
+
+// Copy returns a copy for Restore.
+func (s *FleetStore) Copy() *StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &StoreCopy{
+		revision: s.revision, configuration: s.configuration, changedAt: maps.Clone(s.changedAt), upstreams: maps.Clone(s.upstreams),
+		removed: maps.Clone(s.removed), releases: maps.Clone(s.releases),
+	}
+}
+
+// Restore replaces the content with an older copy. What was written since is lost, and its revisions
+// are given out again.
+func (s *FleetStore) Restore(c *StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.configuration, s.changedAt = c.revision, c.configuration, maps.Clone(c.changedAt)
+	s.upstreams, s.removed, s.releases = maps.Clone(c.upstreams), maps.Clone(c.removed), maps.Clone(c.releases)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Compact discards the history up to now, so that Follow fails for older revisions.
 func (s *FleetStore) Compact() {
 	s.update(func(revision uint64) { s.compactedRevision = revision })
@@ -237,7 +271,7 @@
 			v.s.mu.Unlock()
 			return foxtailwharf.FleetPage{}, ErrStoreUnavailable
 		}
-		if after < v.s.compactedRevision {
+		if after < v.s.compactedRevision || after > v.s.revision {
 			v.s.mu.Unlock()
 			return foxtailwharf.FleetPage{}, foxtailwharf.ErrHistoryGone
 		}
--- /dev/null
+++ b/standin/simulator/restore_test.go
@@ -0,0 +1,92 @@
+package simulator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/standin/simulator"
+)
+
+// TestRestoredStore guards against entries that do not learn what is written after the store has come
+// back from an older copy.
+func TestRestoredStore(t *testing.T) {
+	tests := []struct {
+		name string
+		// outage is how long the store is away before it comes back from the copy.
+		outage time.Duration
+		// rewrites is how often the list is written again right after that.
+		rewrites int
+	}{
+		{"not away at all", 0, 0},
+		{"away for a moment", 2 * time.Second, 0},
+		{"revisions as high as before at once", 0, 12},
+		{"away, and revisions as high as before at once", 2 * time.Second, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, simulator.Config{Entries: 12, Engines: 6, Slots: 4, Events: 3}, 0, func(h *harness) {
+				older := h.Store.Copy()
+				for range 6 {
+					for _, e := range h.Engines {
+						e.PutUpstream()
+					}
+				}
+				time.Sleep(4 * time.Second)
+				h.setStoreAway(tt.outage > 0)
+				time.Sleep(tt.outage)
+				h.Store.Restore(older)
+				h.Engines[1].Drain()
+				for range tt.rewrites {
+					for _, e := range h.Engines[2:] {
+						e.PutUpstream()
+					}
+				}
+				h.setStoreAway(false)
+				time.Sleep(4 * time.Second)
+				h.Engines[0].Drain()
+				configuration := h.Configuration(2, simulator.Key)
+				h.Store.PutConfiguration(configuration)
+				time.Sleep(drainBound)
+				for _, e := range h.Entries {
+					if !e.IsDraining(h.Engines[0].ID) || !e.IsDraining(h.Engines[1].ID) || e.Version() != 2 {
+						t.Errorf("%s knows of two leaving engines: %t and %t, configuration %d", e.Name,
+							e.IsDraining(h.Engines[1].ID), e.IsDraining(h.Engines[0].ID), e.Version())
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestLeftEngineReturnsWithStore guards against calls to engines that had left, or were leaving, before the
+// store came back from an older copy that lists them as ready.
+func TestLeftEngineReturnsWithStore(t *testing.T) {
+	run(t, simulator.Config{Entries: 12, Engines: 6, Slots: 4, Events: 3}, 0, func(h *harness) {
+		older := h.Store.Copy()
+		h.Store.RemoveUpstream(h.Engines[0].ID)
+		h.Engines[1].Drain()
+		time.Sleep(5 * time.Second)
+		h.Store.Restore(older)
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for _, e := range h.Entries {
+				if e.IsListed(h.Engines[0].ID) || !e.IsDraining(h.Engines[1].ID) {
+					t.Errorf("%s lists an engine that has left: %t, knows of a leaving one: %t", e.Name, e.IsListed(h.Engines[0].ID), e.IsDraining(h.Engines[1].ID))
+					return
+				}
+			}
+		}
+		time.Sleep(5 * time.Second)
+		for _, e := range h.Entries {
+			if !e.IsListed(h.Engines[0].ID) {
+				t.Errorf("%s does not list an engine that the store still lists after 10 s", e.Name)
+			}
+		}
+	})
+}
+
+// setStoreAway makes the store unavailable to all entries, or available again.
+func (h *harness) setStoreAway(isAway bool) {
+	for _, e := range h.Entries {
+		h.Store.SetUnavailable(e.Name, isAway)
+	}
+}
