Engines that had left stay away when the store comes back from an older copy

A copy lists as ready what had been leaving or had left before the restore, and entries took it over: calls would go to engines that end. Cause: each record counted as newer than what the entry knew. TestLeftEngineReturnsWithStore failed before (listed at once) and passes.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -99,6 +99,8 @@
 	outageEnd      time.Duration                             // end of the last outage, by the clock; 0 for none
 	calls          map[foxtailwharf.FleetSubject]pendingCall // in progress
 	restores       int                                       // how often the store has come back from an older copy
+	goneRuns       map[string]goneRun                        // removed upstreams, by ID
+	held           map[string]heldUpstream                   // by ID
 }
 
 // New returns a follower with an empty view. Start begins to fill it.
@@ -113,6 +115,8 @@
 		releases:   make(map[string][]foxtailwharf.Release),
 		graceUntil: make(map[string]time.Duration),
 		calls:      make(map[foxtailwharf.FleetSubject]pendingCall),
+		goneRuns:   make(map[string]goneRun),
+		held:       make(map[string]heldUpstream),
 	}
 }
 
@@ -282,6 +286,7 @@
 // publish updates the view's lists, wakes those that wait for a change, and calls OnChange.
 func (f *Follower) publish() {
 	f.expireGrace(f.c.Clock())
+	f.releaseHeld(f.c.Clock())
 	if f.listedSequence != f.view.Sequence {
 		f.listedSequence = f.view.Sequence
 		f.view.Upstreams = make([]foxtailwharf.Upstream, 0, len(f.upstreams))
--- a/internal/process/follower/list.go
+++ b/internal/process/follower/list.go
@@ -28,9 +28,11 @@
 		}
 	}
 	for _, id := range p.Gone {
+		delete(f.held, id)
 		f.removeUpstream(id, now)
 	}
 	for _, u := range p.Upstreams {
+		delete(f.held, u.ID)
 		if known, isKnown := f.upstreams[u.ID]; !isKnown || known.IsDraining != u.IsDraining || known.Weights != u.Weights {
 			f.c.Log.Info("store: upstream listed", zap.String("Upstream", u.ID), zap.String("Service", u.Service),
 				zap.Stringer("Address", u.Address), zap.Bool("Draining", u.IsDraining), zap.Int64("Weights", u.Weights))
@@ -42,13 +44,17 @@
 
 // setUpstream adds or replaces an upstream and records the sequence of the change.
 func (f *Follower) setUpstream(u foxtailwharf.Upstream) {
-	if known, isKnown := f.upstreams[u.ID]; isKnown && isSame(known, u) {
+	known, isKnown := f.upstreams[u.ID]
+	// An upstream that leaves does not change its mind; a record that says so is older.
+	u.IsDraining = u.IsDraining || (isKnown && known.IsDraining && known.Born.Equal(u.Born))
+	if isKnown && isSame(known, u) {
 		return
 	}
 	f.view.Sequence++
 	f.upstreams[u.ID] = u
 	f.changedAt[u.ID] = f.view.Sequence
 	delete(f.goneAt, u.ID)
+	delete(f.goneRuns, u.ID)
 }
 
 // isSame compares two upstreams. It compares start times as instants, since their time zones may
@@ -63,6 +69,7 @@
 // removals, all are forgotten and goneFloor is raised.
 func (f *Follower) deleteUpstream(id string) {
 	f.view.Sequence++
+	f.goneRuns[id] = goneRun{born: f.upstreams[id].Born, isDraining: f.upstreams[id].IsDraining}
 	delete(f.upstreams, id)
 	delete(f.graceUntil, id)
 	delete(f.changedAt, id)
@@ -72,6 +79,7 @@
 	}
 	f.goneFloor = f.view.Sequence
 	clear(f.goneAt)
+	clear(f.goneRuns)
 }
 
 // Changes returns the changes of the list after a position of this process. If they are no longer
--- a/internal/process/follower/subjectpoller.go
+++ b/internal/process/follower/subjectpoller.go
@@ -100,6 +100,9 @@
 	s.recordAnswer()
 	isChanged := p.Configuration != nil || len(p.Upstreams)+len(p.Gone)+len(p.Releases) > 0
 	s.needsFullRead, s.restores = false, restores
+	if isWhole && s.name == foxtailwharf.SubjectUpstreams {
+		s.f.holdReturned(&p, isRestored)
+	}
 	s.f.apply(s.name, p, isWhole, asked)
 	if isChanged && !isWhole {
 		sleeper.Sleep(ctx, s.pause)
