An engine that returns after an outage of the store is kept by all entries

Found while playing restored stores: entries that rely on another one dropped a sound engine for good, so that its callers waited for others. Cause: the return of a record that had expired in the outage changed nothing at the entry that reads the store when the record was the same as before, so that the others were not told and let its time run out. The end of a grace period is now a change of the list.

--- a/internal/process/follower/list.go
+++ b/internal/process/follower/list.go
@@ -38,10 +38,21 @@
 				zap.Stringer("Address", u.Address), zap.Bool("Draining", u.IsDraining), zap.Int64("Weights", u.Weights))
 		}
 		f.setUpstream(u)
-		delete(f.graceUntil, u.ID)
+		f.endGrace(u.ID)
 	}
 }
 
+// endGrace ends the grace period of an upstream that has returned. That is a change for the entries that
+// rely on this one, also where the record is the same as before: they count its time as well.
+func (f *Follower) endGrace(id string) {
+	if _, isInGrace := f.graceUntil[id]; !isInGrace {
+		return
+	}
+	delete(f.graceUntil, id)
+	f.view.Sequence++
+	f.changedAt[id] = f.view.Sequence
+}
+
 // setUpstream adds or replaces an upstream and records the sequence of the change.
 func (f *Follower) setUpstream(u foxtailwharf.Upstream) {
 	known, isKnown := f.upstreams[u.ID]
--- a/standin/simulator/restore_test.go
+++ b/standin/simulator/restore_test.go
@@ -84,6 +84,25 @@
 	})
 }
 
+// TestReturnAfterOutageIsKnownToAll guards against an engine that entries which rely on another one drop
+// although its record, which expired while the store was away, has returned in time.
+func TestReturnAfterOutageIsKnownToAll(t *testing.T) {
+	run(t, simulator.Config{Entries: 12, Engines: 6, Slots: 4, Events: 3}, 0, func(h *harness) {
+		h.setStoreAway(true)
+		time.Sleep(3 * time.Second)
+		h.Store.RemoveUpstream(h.Engines[0].ID)
+		h.setStoreAway(false)
+		time.Sleep(1200 * time.Millisecond)
+		h.Engines[0].PutUpstream()
+		time.Sleep(5 * time.Second)
+		for _, entry := range h.Entries {
+			if !entry.IsListed(h.Engines[0].ID) {
+				t.Errorf("%s does not list the engine", entry.Name)
+			}
+		}
+	})
+}
+
 // setStoreAway makes the store unavailable to all entries, or available again.
 func (h *harness) setStoreAway(isAway bool) {
 	for _, e := range h.Entries {
