Engines that are newer than the copy from which the store has come back are kept

Callers lost capacity: engines that had registered after the copy was made vanished from the list at once, although they register again within two seconds. Cause: the time to return was given only after an outage that this entry had noticed for 1.5 s. A restore now counts as the end of an outage.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -182,6 +182,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.restores++
+	f.outageEnd = f.c.Clock() // upstreams that are newer than the copy have to register again
 	f.c.Log.Info("store: came back from an older copy; reading all subjects again", zap.String("Subject", string(name)))
 	for other, call := range f.calls {
 		if other != name {
--- a/standin/simulator/restore_test.go
+++ b/standin/simulator/restore_test.go
@@ -103,6 +103,32 @@
 	})
 }
 
+// TestNewEngineIsKeptAfterRestore guards against an engine that is not used since the copy from which the store
+// has come back is older than its record.
+func TestNewEngineIsKeptAfterRestore(t *testing.T) {
+	run(t, simulator.Config{Entries: 12, Engines: 6, Slots: 4, Events: 3}, 0, func(h *harness) {
+		older := h.Store.Copy()
+		e, err := h.AddEngine(h.t.Context(), true)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		time.Sleep(3 * time.Second)
+		h.Store.Restore(older)
+		for second := range 6 {
+			time.Sleep(time.Second)
+			if second == 0 {
+				e.PutUpstream()
+			}
+			for _, entry := range h.Entries {
+				if !entry.IsListed(e.ID) {
+					t.Errorf("%s does not list the engine %d s after the restore", entry.Name, second+1)
+				}
+			}
+		}
+	})
+}
+
 // setStoreAway makes the store unavailable to all entries, or available again.
 func (h *harness) setStoreAway(isAway bool) {
 	for _, e := range h.Entries {
