Upstreams with a limit are used by entries that have few calls each

Cause: the call that asked for a permit went elsewhere at once, and the next one came after the permit had expired. A call now waits up to 25 ms for the permit that it asks for. Permits are granted ahead only for calls that cannot go elsewhere, since others found a slot meanwhile (trace: one of four such permits was used).

--- a/internal/process/distributor/limits.go
+++ b/internal/process/distributor/limits.go
@@ -122,7 +122,7 @@
 	if r.ask.Request.Limit.IsLifted {
 		return
 	}
-	r.k.d.assigner.Update(func(b *balancer.Balancer) { b.HandlePermit(time.Now(), r.ask.Upstream, permit) })
+	r.k.d.assigner.HandlePermit(r.ask.Upstream, permit)
 }
 
 // self returns the address at which other entries reach this one.
@@ -217,7 +217,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer, err := messenger.Call[wire.FleetPermit](ctx, k.d.client, keeper, methodPermit, wire.FleetPermitRequest{
-		Asker: asker.String(), Domain: domain, Limit: limitToWire(r.Limit), IsWanted: r.IsWanted, Unused: r.Unused, IsForwarded: isForwarded,
+		Asker: asker.String(), Domain: domain, Limit: limitToWire(r.Limit), IsWanted: r.IsWanted, WithinMillis: r.Within.Milliseconds(), Unused: r.Unused, IsForwarded: isForwarded,
 	})
 	return foxtailwharf.Permit{
 		IsGranted: answer.IsGranted,
@@ -242,7 +242,7 @@
 	if err != nil {
 		return wire.FleetPermit{}, errors.Wrap(err, "limitKeeper.handlePermit")
 	}
-	r := foxtailwharf.PermitRequest{Limit: limitFromWire(q.Limit), IsWanted: q.IsWanted, Unused: min(max(q.Unused, 0), maxUnused)}
+	r := foxtailwharf.PermitRequest{Limit: limitFromWire(q.Limit), IsWanted: q.IsWanted, Within: time.Duration(q.WithinMillis) * time.Millisecond, Unused: min(max(q.Unused, 0), maxUnused)}
 	var permit foxtailwharf.Permit
 	if q.IsForwarded {
 		permit = k.grant(asker, r)
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -27,6 +27,9 @@
 // also appears with time, when a backoff or a backlog of prompts ends.
 const maxDispatchPause = 20 * time.Millisecond
 
+// maxPermitWait is how long a call waits for a permit for a better upstream before it goes elsewhere.
+const maxPermitWait = 25 * time.Millisecond
+
 // Assigner assigns upstreams to calls. It is safe for concurrent use.
 type Assigner struct {
 	mu           sync.Mutex
@@ -35,6 +38,7 @@
 	waiters      map[uint64]*waiter
 	lastID       uint64 // of the newest waiter
 	dispatchedAt time.Time
+	asked        map[string]chan struct{} // closed when the request for a permit is answered, by upstream
 }
 
 // waiter is a call in the queue. The channel has a buffer of one, so that dispatch never blocks.
@@ -52,7 +56,7 @@
 
 // New returns an assigner that owns the balancer: nothing else may use it.
 func New(b *balancer.Balancer) *Assigner {
-	return &Assigner{balancer: b, queue: queuer.New(), waiters: make(map[uint64]*waiter)}
+	return &Assigner{balancer: b, queue: queuer.New(), waiters: make(map[uint64]*waiter), asked: make(map[string]chan struct{})}
 }
 
 // Update changes the balancer under the lock and assigns the capacity that this has freed.
@@ -105,6 +109,41 @@
 	return a.balancer.TakeAsks(time.Now())
 }
 
+// HandlePermit passes the answer to a request for a permit to the balancer, and assigns it.
+func (a *Assigner) HandlePermit(asked foxtailwharf.Upstream, p foxtailwharf.Permit) {
+	a.Update(func(b *balancer.Balancer) {
+		b.HandlePermit(time.Now(), asked, p)
+		if answered, isAwaited := a.asked[asked.ID]; isAwaited {
+			delete(a.asked, asked.ID)
+			close(answered)
+		}
+	})
+}
+
+// awaitPermit asks for a permit if the call would rather be sent to an upstream that has named a limit,
+// and waits for the answer. Where calls are few, a permit that arrives later would find none.
+func (a *Assigner) awaitPermit(ctx context.Context, requirements balancer.Requirements) {
+	a.mu.Lock()
+	id := a.balancer.AskFor(time.Now(), requirements)
+	if id == "" {
+		a.mu.Unlock()
+		return
+	}
+	answered, isAwaited := a.asked[id]
+	if !isAwaited {
+		answered = make(chan struct{})
+		a.asked[id] = answered
+	}
+	a.mu.Unlock()
+	timer := time.NewTimer(maxPermitWait)
+	defer timer.Stop()
+	select {
+	case <-answered:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Limited returns the number of upstreams that have named a limit.
 func (a *Assigner) Limited() int {
 	a.mu.Lock()
@@ -145,6 +184,7 @@
 // of the call with Finished. It returns a refusal if no upstream is eligible, or if none has had
 // capacity when the wait or the context ends.
 func (a *Assigner) Acquire(ctx context.Context, request Request) (foxtailwharf.Upstream, *foxtailwharf.Refusal) {
+	a.awaitPermit(ctx, request.Requirements)
 	w, u, refusal := a.enqueue(request)
 	if w == nil {
 		return u, refusal
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -38,6 +38,7 @@
 	entries   int                  // that share the upstreams, this one included
 	reporting map[string]bool      // engines whose agents report here, by ID; nil for all
 	lifted    []liftedLimit        // for TakeAsks
+	hasAsks   bool                 // TakeAsks may have requests
 }
 
 // release is a version of a service's weights and when it replaces older ones.
--- a/internal/request/balancer/limit.go
+++ b/internal/request/balancer/limit.go
@@ -17,10 +17,25 @@
 	unused    int       // permits that have expired
 	retryAt   time.Time // no permit is granted before
 	isWanted  bool      // a call would have been sent with a permit
+	isPatient bool      // the call could not go elsewhere
 	isAsking  bool
 	isUntold  bool // the entry that keeps the limit may not know it
 }
 
+// How long a call waits for a permit: briefly if it can go elsewhere, and longer if it cannot.
+const (
+	shortWait = 20 * time.Millisecond
+	longWait  = time.Second
+)
+
+// within returns how long the call that wants a permit can wait for it.
+func (l *limit) within() time.Duration {
+	if l.isPatient {
+		return longWait
+	}
+	return shortWait
+}
+
 // hasPermit drops expired permits and reports whether one is left.
 func (l *limit) hasPermit(now time.Time) bool {
 	held := len(l.permits)
@@ -116,6 +131,10 @@
 
 // TakeAsks returns the requests that are due. Each has to be answered with HandlePermit.
 func (b *Balancer) TakeAsks(now time.Time) (asks []Ask) {
+	if !b.hasAsks {
+		return nil
+	}
+	b.hasAsks = false
 	for _, l := range b.lifted {
 		asks = append(asks, Ask{Upstream: l.upstream, Request: foxtailwharf.PermitRequest{Limit: foxtailwharf.NamedLimit{
 			Upstream: l.upstream.ID, Born: l.upstream.Born, IsLifted: true, Age: now.Sub(l.at),
@@ -129,9 +148,9 @@
 		}
 		request := foxtailwharf.PermitRequest{
 			Limit:    foxtailwharf.NamedLimit{Upstream: u.ID, Born: u.Born, PerSecond: l.perSecond, Age: now.Sub(l.namedAt)},
-			IsWanted: l.isWanted, Unused: l.unused,
+			IsWanted: l.isWanted, Within: l.within(), Unused: l.unused,
 		}
-		l.isAsking, l.isWanted, l.isUntold, l.unused = true, false, false, 0
+		l.isAsking, l.isWanted, l.isPatient, l.isUntold, l.unused = true, false, false, false, 0
 		asks = append(asks, Ask{Upstream: u.Upstream, Request: request})
 	}
 	return asks
@@ -144,7 +163,10 @@
 		return
 	}
 	l := u.limit
-	l.isAsking, l.isWanted = false, false
+	l.isAsking, l.isWanted, l.isPatient = false, false, false
+	if l.isUntold {
+		b.announceAsks()
+	}
 	switch {
 	case p.IsLifted:
 		u.limit = nil
@@ -155,16 +177,34 @@
 	}
 }
 
-// wantPermit makes a request for a permit due.
-func (b *Balancer) wantPermit(l *limit) {
-	if !l.isWanted {
-		l.isWanted = true
-		b.announceAsks()
+// AskFor makes a request for a permit due if the call would rather be sent to an upstream that has named
+// a limit. It returns the ID of the upstream; empty if there is none or a request is under way already.
+func (b *Balancer) AskFor(now time.Time, req Requirements) string {
+	if !slices.ContainsFunc(b.byService[req.Service], func(u *upstream) bool { return u.limit != nil }) {
+		return ""
+	}
+	p := b.newPicker(now, &req)
+	_, in, _ := p.result()
+	if !p.wouldPreferLimited(in) || !b.wantPermit(p.best[limited].limit, in == limited) {
+		return ""
 	}
+	return p.best[limited].ID
+}
+
+// wantPermit makes a request for a permit due, unless one is or is under way.
+func (b *Balancer) wantPermit(l *limit, isPatient bool) (isNew bool) {
+	l.isPatient = l.isPatient || isPatient
+	if l.isWanted || l.isAsking {
+		return false
+	}
+	l.isWanted = true
+	b.announceAsks()
+	return true
 }
 
 // announceAsks makes known that TakeAsks has requests.
 func (b *Balancer) announceAsks() {
+	b.hasAsks = true
 	if b.c.OnAsk != nil {
 		b.c.OnAsk()
 	}
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -77,6 +77,7 @@
 	counts        [groupCount]int
 	best          [groupCount]*upstream // cheapest with capacity, of each group
 	costs         [groupCount]float64   // of best
+	leastCosts    [groupCount]float64   // also of those without capacity
 	// limitedIn and limitedCost are the group and the cost that the best of the limited ones would have.
 	limitedIn   group
 	limitedCost float64
@@ -103,8 +104,8 @@
 func (b *Balancer) Pick(now time.Time, req Requirements) (chosen foxtailwharf.Upstream, isFound, hasCandidates bool) {
 	p := b.newPicker(now, &req)
 	best, bestIn, hasCandidates := p.result()
-	if p.wouldPreferLimited(best, bestIn) {
-		b.wantPermit(p.best[limited].limit)
+	if p.wouldPreferLimited(bestIn) {
+		b.wantPermit(p.best[limited].limit, bestIn == limited)
 	}
 	if best == nil {
 		return chosen, false, hasCandidates
@@ -129,10 +130,14 @@
 		return
 	}
 	p.counts[g]++
+	cost := p.cost(u, age)
+	if p.counts[g] == 1 || cost < p.leastCosts[g] {
+		p.leastCosts[g] = cost
+	}
 	if !p.hasCapacity(u, age) {
 		return
 	}
-	if cost := p.cost(u, age); p.best[g] == nil || cost < p.costs[g] {
+	if p.best[g] == nil || cost < p.costs[g] {
 		p.best[g], p.costs[g] = u, cost
 	}
 }
@@ -152,15 +157,16 @@
 	}
 }
 
-// wouldPreferLimited reports whether an upstream would be chosen if this entry had a permit for it.
-func (p *picker) wouldPreferLimited(best *upstream, in group) bool {
+// wouldPreferLimited reports whether an upstream would be chosen if this entry had a permit for it. in is
+// the group to which the call is sent, or for which it waits.
+func (p *picker) wouldPreferLimited(in group) bool {
 	switch {
 	case p.best[limited] == nil:
 		return false
-	case best == nil || in == limited:
+	case in == limited:
 		return true
 	default:
-		return p.limitedIn < in || (p.limitedIn == in && p.limitedCost < p.costs[in])
+		return p.limitedIn < in || (p.limitedIn == in && p.limitedCost < p.leastCosts[in])
 	}
 }
 
--- a/internal/request/granter/granter.go
+++ b/internal/request/granter/granter.go
@@ -18,18 +18,20 @@
 	// there would be no response that could lift it.
 	minRate = 0.1
 	// burst is the number of permits that may be granted at once, beyond the first, after a pause.
-	burst = 2
-	// minAhead and maxAhead bound how far ahead of its time a permit is granted.
-	minAhead = 100 * time.Millisecond
+	burst = 3
+	// maxAhead bounds how far ahead of its time a permit is granted.
 	maxAhead = time.Second
+	// maxFirstWait bounds the time until the first permit of a limit that was not kept here before.
+	maxFirstWait = time.Second
 	// askerLifetime is how long an entry counts as one that asks for permits.
 	askerLifetime = 4 * time.Second
 	// minRetry is the shortest time until an entry asks again, and maxSpread bounds the time over which
 	// the entries that ask are spread. Together they ask askExcess times as often as permits fall due, so
-	// that few are left over.
+	// that few are left over, but no more than maxAsks times a second.
 	minRetry  = 50 * time.Millisecond
-	maxSpread = 12 * time.Second
-	askExcess = 2
+	maxSpread = 15 * time.Second
+	askExcess = 4
+	maxAsks   = 60
 	// recordLifetime is how long a limit is kept after it was last asked for.
 	recordLifetime = time.Minute
 	// announcements is how often a limit, or its end, is announced, announceInterval apart.
@@ -77,7 +79,7 @@
 	k := g.records[key]
 	if k == nil {
 		k = &record{limit: r.Limit, saidAt: now.Add(-r.Limit.Age), askers: make(map[netip.AddrPort]time.Time)}
-		k.next = now.Add(min(k.interval(), maxAhead))
+		k.next = now.Add(min(k.interval(), maxFirstWait))
 		g.records[key] = k
 	}
 	k.askedAt = now
@@ -90,19 +92,18 @@
 	}
 	k.next = k.next.Add(-time.Duration(r.Unused) * k.interval())
 	k.askers[asker] = now
-	return g.grant(now, k)
+	return g.grant(now, k, min(r.Within, maxAhead))
 }
 
-// grant grants a permit if one falls due soon.
-func (g *Granter) grant(now time.Time, k *record) foxtailwharf.Permit {
+// grant grants a permit if one falls due within a time.
+func (g *Granter) grant(now time.Time, k *record, within time.Duration) foxtailwharf.Permit {
 	interval := k.interval()
 	next := later(k.next, now.Add(-burst*interval))
 	wait := max(next.Sub(now), 0)
-	ahead := min(max(interval, minAhead), maxAhead)
-	if wait > ahead {
+	if wait > within {
 		k.forgetAskers(now)
-		spread := min(2*time.Duration(len(k.askers))*interval/askExcess, maxSpread)
-		return foxtailwharf.Permit{RetryIn: max(wait-ahead, minRetry) + time.Duration(g.c.Random.Float64()*float64(spread))}
+		spread := min(2*time.Duration(len(k.askers))*max(interval/askExcess, time.Second/maxAsks), maxSpread)
+		return foxtailwharf.Permit{RetryIn: max(wait, minRetry) + time.Duration(g.c.Random.Float64()*float64(spread))}
 	}
 	k.next = next.Add(interval)
 	return foxtailwharf.Permit{IsGranted: true, StartsIn: wait}
--- a/limit.go
+++ b/limit.go
@@ -20,6 +20,8 @@
 	Limit NamedLimit
 	// IsWanted is false if the request only tells the limit.
 	IsWanted bool
+	// Within is how long the call can wait for the permit.
+	Within time.Duration
 	// Unused is the number of earlier permits that have expired without a call.
 	Unused int
 }
--- a/standin/simulator/limit_test.go
+++ b/standin/simulator/limit_test.go
@@ -136,6 +136,10 @@
 				}
 			},
 		},
+		{
+			name: "entries with few calls each", config: simulator.Config{Entries: 40, Engines: 4, Slots: 8, Events: 5},
+			limits: []float64{1}, callsPerSecond: 24, minServed: 0.99, minUsed: 0.6,
+		},
 		{
 			name: "forty entries", config: simulator.Config{Entries: 40, Engines: 12, Slots: 8, Events: 5},
 			limits: []float64{1}, callsPerSecond: 120, minServed: 0.99, minUsed: 0.6,
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -419,6 +419,9 @@
 
 	// earlier permits that have expired without a call
 	Unused int `json:"Unused,omitempty,omitzero"`
+
+	// how long the call can wait for the permit
+	WithinMillis int64 `json:"WithinMillis,omitempty,omitzero"`
 }
 
 // FleetQuestion asks another entry what it knows of the platform's store.
