A call with a permit takes any free slot of its upstream

Cause of the rest: whether a call asks for a permit, and whether it may use one, was decided by this entry's share of the free slots, below one for most, so that permits expired (trace: 1 of 14 used). Permits share the upstream already; any free slot counts.

--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -234,7 +234,8 @@
 	if p.req.MaxPrefill > 0 && u.prefillTime(age, p.req) > p.req.MaxPrefill {
 		return false
 	}
-	return p.b.hasFreeShare(u, slots, p.req.IsOnlyWaiting)
+	// Permits share a limited upstream among the entries already.
+	return p.b.hasFreeShare(u, slots, p.req.IsOnlyWaiting || u.limit != nil)
 }
 
 // hasFreeShare reports whether this entry's share of the slots that the last report says are free
