Calls of an engine that is leaving are not ended because it refuses new connections

Class: one sign of two things, a closed listener was taken for an ended process. For an engine that is leaving only the connection of each call counts now; a later start still does. TestLeavingEngineKeepsItsCalls failed before and passes.

--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -260,6 +260,8 @@
 
 // IsLost reports whether a younger upstream is listed under the upstream's ID or at its address, or a
 // recent report says that it is down or was restarted after born. It is false for upstreams that are not listed.
+// One that is leaving may refuse new connections, those of its agent included, while it finishes calls: only
+// their own connections tell whether it is down.
 func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
 	u := b.byID[id]
 	if u != nil && (u.isReplaced || u.Born.After(born)) {
@@ -268,5 +270,5 @@
 	if u == nil || u.reportAge(now) > loadLifetime {
 		return false
 	}
-	return u.load.IsDown || (!u.load.Born.IsZero() && u.load.Born.After(born))
+	return (u.load.IsDown && !u.IsDraining) || (!u.load.Born.IsZero() && u.load.Born.After(born))
 }
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -296,3 +296,19 @@
 		}
 	}
 }
+
+// TestLeavingEngineKeepsItsCalls guards against ending the calls of an engine that is leaving and already
+// refuses new connections, also those of its agent.
+func TestLeavingEngineKeepsItsCalls(t *testing.T) {
+	u := listed(1, "near", 1)
+	u.IsDraining = true
+	b := newBalancer(u)
+	b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, IsDown: true})
+	if b.IsLost(start, u.ID, u.Born) {
+		t.Error("an engine that is leaving counts as lost since it takes no new connections")
+	}
+	b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: start.Add(time.Second)})
+	if !b.IsLost(start, u.ID, u.Born) {
+		t.Error("an engine that has started anew does not count as lost")
+	}
+}
