A call with a banned part gets no slot that the end of another one has freed

Cause, traced: a ban ends all pending calls with the part one after the other; the first to end frees its slot, which the queue gave to another one before its own end.

--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -108,6 +108,12 @@
 			x.finish(ctx, refusal)
 			return
 		}
+		if remaining := x.f.quarantinedFor(x.digest, x.call.PromptParts); remaining > 0 {
+			// The end of another banned call may have freed the slot before the ban has ended this one.
+			x.f.c.Assigner.Finished(u.ID, balancer.Abandoned)
+			x.finish(ctx, quarantined(remaining))
+			return
+		}
 		x.queueTime = time.Since(x.started)
 		switch x.attempt(ctx, u) {
 		case delivered:
