--- a/internal/process/distributor/limits.go
+++ b/internal/process/distributor/limits.go
@@ -247,6 +247,7 @@
 	if q.IsForwarded {
 		permit = k.grant(asker, r)
 	} else if permit, err = k.permit(ctx, q.Domain, asker, r, 1); err != nil {
+		// The entries before this one do not answer, so that this one keeps the limit.
 		permit = k.grant(asker, r)
 	}
 	return wire.FleetPermit{
--- a/internal/process/follower/list.go
+++ b/internal/process/follower/list.go
@@ -56,7 +56,7 @@
 // setUpstream adds or replaces an upstream and records the sequence of the change.
 func (f *Follower) setUpstream(u foxtailwharf.Upstream) {
 	known, isKnown := f.upstreams[u.ID]
-	// An upstream that leaves does not change its mind; a record that says so is older.
+	// Leaving is final for a run, so that a record which says otherwise is older.
 	u.IsDraining = u.IsDraining || (isKnown && known.IsDraining && known.Born.Equal(u.Born))
 	if isKnown && isSame(known, u) {
 		return
