--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -105,6 +105,9 @@
 		u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest())
 		x.f.recordAssignment(x.service.Name, refusal)
 		if refusal != nil {
+			if len(x.excluded) > 0 {
+				x.log("no upstream for another attempt", zap.String("Reason", string(refusal.Reason)))
+			}
 			x.finish(ctx, refusal)
 			return
 		}
@@ -132,7 +135,12 @@
 			}
 		}
 		x.excluded[u.ID] = true
-		if ctx.Err() != nil || !x.f.allowRetry(x.service.Name) {
+		if ctx.Err() != nil {
+			x.finish(ctx, nil)
+			return
+		}
+		if !x.f.allowRetry(x.service.Name) {
+			x.log("the retry budget allows no other attempt")
 			x.finish(ctx, nil)
 			return
 		}
