A silent upstream is given up only once another one answers

What callers saw: refusals as OutcomeUnknown, and streams broken off, while the upstream of the call was sound and went on after a second or so of silence (LOST). Cause: an attempt was cancelled after 1.2 s without data, and only then were the retry budget and the assigner asked. Where one of them said no, or the next upstream refused, nobody had the call any more. Class: what is sound is given up on a suspicion, before it has a replacement. TestSilentUpstreamIsGivenUpWithoutAnother failed in 36 of 54 cases, and TestFirstUpstreamGoesOnBeforeTheOther: 502, 504, "1 2 3, unexpected EOF". Change: silence starts a search (budget, slot, permit) while the first attempt goes on. It is ended once another upstream has begun to answer with something that continues what the caller has; data from the first one ends the search. A retry that was allowed and not made goes back to the budget. Without another upstream the call waits until its deadline. Measured: all cases pass, under the race detector as well.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -17,8 +17,8 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 )
 
-// Timeouts after which a stalled upstream is abandoned, which apply only while the call may be
-// retried at another upstream, and the interval of the checks that every attempt makes.
+// Times of silence after which another upstream is sought, where the call may be repeated, and the
+// interval of the checks that every attempt makes.
 const (
 	// firstEventTimeout applies until the first event of a stream, or until the first part of a
 	// buffered answer. Where firstEventTimeoutGoals times the route's goal is longer, that applies.
@@ -38,7 +38,7 @@
 
 // Causes with which the context of an attempt is canceled.
 var (
-	errStalled         = errors.New("upstream sent no data in time")
+	errStalled         = errors.New("upstream sent no data in time, and another one answers")
 	errUpstreamEnded   = errors.New("upstream has ended")
 	errWeightsReplaced = errors.New("upstream still holds weights that have been replaced")
 )
@@ -47,47 +47,93 @@
 type attempt struct {
 	x          *exchange
 	upstream   foxtailwharf.Upstream
+	from       position
+	parent     context.Context // of the call; set by send
+	ctx        context.Context // of the attempt; set by send
 	cancel     context.CancelCauseFunc
+	answer     *requester.Response // nil until the head of the answer was read
+	reply      foxtailwharf.Reply
 	stallTimer *time.Timer
 	checkTimer *time.Timer
 	isDone     atomic.Bool
 	hasEvent   atomic.Bool // an event was received
 }
 
-// run makes the attempt. It returns the outcome for the call and the result for the upstream.
+// newAttempt returns an attempt at an upstream that the assigner has counted. It has to be ended with end.
+func newAttempt(x *exchange, u foxtailwharf.Upstream, from position) *attempt {
+	return &attempt{x: x, upstream: u, from: from}
+}
+
+// run makes the attempt, or goes on with it if it has begun to be answered. It returns the outcome for the
+// call and the result for the upstream.
 func (a *attempt) run(ctx context.Context) (outcome, balancer.Result) {
-	var attemptCtx context.Context
-	attemptCtx, a.cancel = context.WithCancelCause(ctx)
-	defer a.cancel(nil)
-	a.startWatchdog()
-	defer a.stopWatchdog()
+	a.stallTimer = time.AfterFunc(a.firstEventLimit(), func() { a.x.startBackup(ctx, a) })
+	if a.answer == nil {
+		if o, result, isAnswered := a.send(ctx); !isAnswered {
+			return o, result
+		}
+	}
+	if a.x.route.Kind == foxtailwharf.CallStream && a.answer.Status == http.StatusOK {
+		return a.forwardStream(a.ctx)
+	}
+	return a.forwardBuffered(a.ctx)
+}
+
+// send sends the call and reads the head of the answer. If the upstream answers the call, the outcome and
+// the result are open.
+func (a *attempt) send(ctx context.Context) (o outcome, result balancer.Result, isAnswered bool) {
+	a.parent = ctx
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	// The timer is started only once the field that checkUpstream uses is set.
+	a.checkTimer = time.AfterFunc(time.Hour, a.checkUpstream)
+	a.checkTimer.Reset(upstreamCheckInterval)
 	if a.x.service.Engine != nil {
 		a.x.f.c.NotifyAgent(a.upstream, a.x.call.PromptTokens)
 	}
+	a.x.progress.startRun()
 	sentAt := time.Now()
-	answer, err := a.x.f.c.Requester.Do(attemptCtx, a.request())
+	answer, err := a.x.f.c.Requester.Do(a.ctx, a.request())
 	if err != nil {
-		return a.handleSendError(attemptCtx, err)
+		o, result = a.handleSendError(a.ctx, err)
+		return o, result, false
 	}
-	defer answer.Close()
-	reply := a.x.f.c.Dialect.ReadReply(a.x.call.ID, answer.Status, answer.Header)
-	if a.x.f.c.Assigner.HandleReply(a.upstream.ID, sentAt, reply) {
-		a.log("upstream has changed its limit", zap.Bool("HasLimit", reply.HasLimit), zap.Float64("PerSecond", reply.Limit))
+	a.answer = answer
+	a.reply = a.x.f.c.Dialect.ReadReply(a.x.call.ID, answer.Status, answer.Header)
+	if a.x.f.c.Assigner.HandleReply(a.upstream.ID, sentAt, a.reply) {
+		a.log("upstream has changed its limit", zap.Bool("HasLimit", a.reply.HasLimit), zap.Float64("PerSecond", a.reply.Limit))
 	}
 	switch {
-	case reply.IsNotRun:
-		return a.handleRejected(answer, reply)
-	case !reply.IsAuthentic:
-		a.x.runs++
+	case a.reply.IsNotRun:
+		a.x.progress.dropRun()
+		o, result = a.handleRejected(answer, a.reply)
+		return o, result, false
+	case !a.reply.IsAuthentic:
 		a.x.f.c.Meter.Increment(meter.CounterMismatchedAnswers)
 		a.log("answer does not belong to this call or is not signed by the upstream", zap.Int("Status", answer.Status))
-		return unknown, balancer.Failed
+		return unknown, balancer.Failed, false
+	}
+	return o, result, true
+}
+
+// end releases what the attempt holds and reports its result to the assigner. ctx is that of the call.
+func (a *attempt) end(ctx context.Context, result balancer.Result) {
+	a.isDone.Store(true)
+	if a.stallTimer != nil {
+		a.stallTimer.Stop()
+	}
+	if a.checkTimer != nil {
+		a.checkTimer.Stop()
 	}
-	a.x.runs++
-	if a.x.route.Kind == foxtailwharf.CallStream && answer.Status == http.StatusOK {
-		return a.forwardStream(attemptCtx, answer, reply)
+	if a.answer != nil {
+		a.answer.Close()
 	}
-	return a.forwardBuffered(attemptCtx, answer)
+	if a.cancel != nil {
+		a.cancel(nil)
+	}
+	if ctx.Err() != nil && result == balancer.Failed {
+		result = balancer.Abandoned
+	}
+	a.x.f.c.Assigner.Finished(a.upstream.ID, result)
 }
 
 // request builds the request to the upstream.
@@ -98,8 +144,8 @@
 		Account:     x.account,
 		Remaining:   time.Until(x.deadline),
 		Urgency:     x.rank.Urgency(),
-		Weights:     x.weights,
-		LastEventID: x.lastEvent,
+		Weights:     a.from.weights,
+		LastEventID: a.from.lastEvent,
 	})
 	return requester.Request{
 		Address:            a.upstream.Address,
@@ -113,24 +159,10 @@
 	}
 }
 
-// startWatchdog starts the timers that cancel the attempt. Without a retry left, the stall limit
-// is an hour, so that only the deadline of the call bounds the attempt.
-func (a *attempt) startWatchdog() {
-	limit := max(firstEventTimeout, time.Duration(float64(a.x.route.Goal)*firstEventTimeoutGoals))
-	isWatched := a.x.route.IsRepeatable() && a.x.runs+1 < a.x.route.Attempts
-	if !isWatched {
-		limit = time.Hour
-	}
-	a.stallTimer = time.AfterFunc(limit, func() { a.cancel(errStalled) })
-	// The timer is started only once the field that checkUpstream uses is set.
-	a.checkTimer = time.AfterFunc(time.Hour, a.checkUpstream)
-	a.checkTimer.Reset(upstreamCheckInterval)
-}
-
-func (a *attempt) stopWatchdog() {
-	a.isDone.Store(true)
-	a.stallTimer.Stop()
-	a.checkTimer.Stop()
+// firstEventLimit returns how long the upstream may be silent before its answer begins until another one is
+// sought.
+func (a *attempt) firstEventLimit() time.Duration {
+	return max(firstEventTimeout, time.Duration(float64(a.x.route.Goal)*firstEventTimeoutGoals))
 }
 
 // checkUpstream cancels the attempt if the upstream has ended, or if the weights that it holds
@@ -167,10 +199,10 @@
 func (a *attempt) handleSendError(ctx context.Context, err error) (outcome, balancer.Result) {
 	var failure *requester.Error
 	if errors.As(err, &failure) && failure.IsUnsent {
+		a.x.progress.dropRun()
 		a.log("upstream could not be reached", zap.Error(err))
 		return notRun, balancer.Failed
 	}
-	a.x.runs++
 	return a.handleBroken(ctx, err)
 }
 
@@ -216,7 +248,7 @@
 
 // drain reads the rest of a short answer so that the connection can be reused.
 func (a *attempt) drain(answer *requester.Response) {
-	a.stallTimer.Reset(drainTimeout)
+	defer time.AfterFunc(drainTimeout, func() { a.cancel(errStalled) }).Stop()
 	n, err := io.CopyN(io.Discard, answer, maxDrainBytes)
 	if !errors.Is(err, io.EOF) {
 		a.log("connection closed instead of reading the rest of an answer", zap.Int64("Read", n), zap.Error(err))
@@ -225,32 +257,43 @@
 
 // forwardBuffered reads an answer that is not a stream and forwards it. A server error is kept
 // instead while the call may be retried.
-func (a *attempt) forwardBuffered(ctx context.Context, answer *requester.Response) (outcome, balancer.Result) {
-	body, err := a.x.f.collector.Collect(answer, a.resetStallTimer)
+func (a *attempt) forwardBuffered(ctx context.Context) (outcome, balancer.Result) {
+	isServerError := a.answer.Status >= http.StatusInternalServerError
+	body, err := a.x.f.collector.Collect(a.answer, func() { a.recordPart(isServerError) })
 	if err != nil {
 		return a.handleBroken(ctx, err)
 	}
 	a.x.held = append(a.x.held, body)
-	isServerError := answer.Status >= http.StatusInternalServerError
-	if a.x.isHeadSent || isNotRunStatus(answer.Status) {
+	if a.x.progress.hasHead() || isNotRunStatus(a.answer.Status) {
 		return unknown, balancer.Failed
 	}
-	buffered := &bufferedAnswer{status: answer.Status, header: a.x.f.c.Dialect.AnswerHeader(answer.Header), body: body.Bytes}
-	if isServerError && a.x.mayRetryAfterRun() {
+	buffered := &bufferedAnswer{status: a.answer.Status, header: a.x.f.c.Dialect.AnswerHeader(a.answer.Header), body: body.Bytes}
+	if isServerError && (a.x.mayRetryAfterRun() || a.x.progress.hasBackup()) {
 		a.x.errorAnswer = buffered
 		return unknown, balancer.Failed
 	}
+	if !a.x.progress.advance() {
+		return unknown, balancer.Stalled
+	}
 	a.x.writeBuffered(buffered)
 	if isServerError {
 		return delivered, balancer.Failed
 	}
-	if answer.Status < http.StatusMultipleChoices {
+	if a.answer.Status < http.StatusMultipleChoices {
 		a.begin()
 	}
 	a.x.f.clearSuspicion(a.x.digest)
 	return delivered, balancer.Answered
 }
 
+// recordPart records that a part of a buffered answer has arrived. A server error ends no search for another
+// upstream.
+func (a *attempt) recordPart(isServerError bool) {
+	if isServerError || a.x.progress.advance() {
+		a.resetStallTimer()
+	}
+}
+
 // begin records the first part of the answer: the call has begun, and its prompt crashes no upstream.
 func (a *attempt) begin() {
 	if a.hasEvent.Swap(true) || len(a.x.call.PromptParts) == 0 {
@@ -272,47 +315,48 @@
 }
 
 // forwardStream forwards complete events as they arrive.
-func (a *attempt) forwardStream(ctx context.Context, answer *requester.Response, reply foxtailwharf.Reply) (outcome, balancer.Result) {
+func (a *attempt) forwardStream(ctx context.Context) (outcome, balancer.Result) {
 	x := a.x
-	x.weights = reply.Weights
-	header := x.f.c.Dialect.AnswerHeader(answer.Header)
-	events := splitter.New(answer)
+	x.progress.setWeights(a.reply.Weights)
+	header := x.f.c.Dialect.AnswerHeader(a.answer.Header)
+	events := splitter.New(a.answer)
 	for {
 		event, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && !a.hasEvent.Load() && !answer.IsDelimited:
+		case errors.Is(err, io.EOF) && !a.hasEvent.Load() && !a.answer.IsDelimited:
 			// An upstream that crashes before its first event ends the connection as well.
 			return a.handleBroken(ctx, &requester.Error{IsBroken: true, Err: io.ErrUnexpectedEOF})
 		case errors.Is(err, io.EOF):
-			x.beginStream(answer.Status, header)
+			if !x.progress.advance() {
+				return unknown, balancer.Stalled
+			}
+			x.beginStream(a.answer.Status, header)
 			x.f.clearSuspicion(x.digest)
 			return delivered, balancer.Answered
 		case err != nil:
 			return a.handleBroken(ctx, err)
 		}
+		if !x.progress.advanceStream(event.ID, event.HasData) {
+			return unknown, balancer.Stalled
+		}
 		if event.HasData {
 			a.begin()
 			a.resetStallTimer()
 		}
 		if weights, hasWeights := x.f.c.Dialect.EventWeights(event.Text); hasWeights {
-			x.weights = weights
+			x.progress.setWeights(weights)
 		}
-		x.beginStream(answer.Status, header)
+		x.beginStream(a.answer.Status, header)
 		if err := x.writeEvent(event.Text); err != nil {
 			x.log("caller disconnected during its stream", zap.Error(err))
 			return callerGone, balancer.Abandoned
 		}
-		if event.ID != "" {
-			x.lastEvent = event.ID
-		}
 	}
 }
 
 // resetStallTimer restarts the stall timer after an event or a part of an answer.
 func (a *attempt) resetStallTimer() {
-	if a.x.route.IsRepeatable() && a.x.runs < a.x.route.Attempts {
-		a.stallTimer.Reset(max(eventTimeout, eventTimeoutPauses*a.x.route.Gap))
-	}
+	a.stallTimer.Reset(max(eventTimeout, eventTimeoutPauses*a.x.route.Gap))
 }
 
 func (a *attempt) log(message string, fields ...zap.Field) {
--- /dev/null
+++ b/internal/request/forwarder/backup.go
@@ -0,0 +1,180 @@
+package forwarder
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+)
+
+// searchInterval is the time between two searches for another upstream.
+const searchInterval = 100 * time.Millisecond
+
+// backupState is how far a backup has come.
+type backupState int
+
+const (
+	backupSearching backupState = iota
+	backupSent                  // the call was sent to another upstream
+	backupChosen                // the other upstream answers, and the first attempt is ended
+	backupEnded
+)
+
+// backup looks for another upstream while the first one is silent, which a sound upstream may be for a
+// while. The first attempt ends only once the other upstream has begun to answer.
+type backup struct {
+	x        *exchange
+	first    *attempt
+	from     position
+	excluded map[string]bool // belongs to the goroutine of run until done is closed
+	cancel   context.CancelFunc
+	done     chan struct{}
+	state    backupState // guarded by progress.mu
+	answered *attempt    // that has been chosen; nil for none
+}
+
+// startBackup starts the search for another upstream, unless one is under way or the call must not run once
+// more.
+func (x *exchange) startBackup(ctx context.Context, first *attempt) {
+	if !x.mayRetryAfterRun() {
+		return
+	}
+	x.progress.mu.Lock()
+	defer x.progress.mu.Unlock()
+	if x.progress.backup != nil || first.isDone.Load() || ctx.Err() != nil {
+		return
+	}
+	b := &backup{
+		x: x, first: first, excluded: maps.Clone(x.excluded), done: make(chan struct{}),
+		from: position{lastEvent: x.progress.lastEvent, weights: x.progress.weights},
+	}
+	b.excluded[first.upstream.ID] = true
+	ctx, b.cancel = context.WithCancel(ctx)
+	x.progress.backup = b
+	x.searches.Go(func() { b.run(ctx) })
+}
+
+// run searches until another upstream answers, or the call or the silence of the first upstream has ended.
+func (b *backup) run(ctx context.Context) {
+	defer close(b.done)
+	x := b.x
+	x.log("upstream is silent, another one is sought", zap.String("Upstream", b.first.upstream.ID), zap.String("LastEvent", b.from.lastEvent))
+	hasRetry := false
+	for {
+		hasRetry = hasRetry || x.f.allowRetry(x.service.Name)
+		if hasRetry {
+			if u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(b.from, b.excluded, x.deadline)); refusal == nil {
+				a := newAttempt(x, u, b.from)
+				if !b.setSent() {
+					a.end(ctx, balancer.Abandoned)
+					break
+				}
+				hasRetry = false
+				if b.send(ctx, a) || !x.mayRetryAfterRun() {
+					return
+				}
+				continue
+			}
+		}
+		if !sleeper.Sleep(ctx, searchInterval) {
+			break
+		}
+	}
+	if hasRetry {
+		x.f.returnRetry(x.service.Name)
+	}
+}
+
+// send sends the call to another upstream. It returns true if that upstream answers in place of the first
+// one.
+func (b *backup) send(ctx context.Context, a *attempt) bool {
+	b.x.f.c.Meter.Increment(meter.CounterRetried)
+	b.excluded[a.upstream.ID] = true
+	o, result, isAnswered := a.send(ctx)
+	if isAnswered && b.choose(a) {
+		b.answered = a
+		return true
+	}
+	if isAnswered {
+		o, result = unknown, balancer.Abandoned
+		if a.answer.Status >= http.StatusInternalServerError {
+			result = balancer.Failed
+		}
+	}
+	if o == unknown {
+		b.x.progress.setUnknown()
+	}
+	a.end(ctx, result)
+	return false
+}
+
+// setSent records that the call is being sent. It returns false if the search has been ended.
+func (b *backup) setSent() bool {
+	b.x.progress.mu.Lock()
+	defer b.x.progress.mu.Unlock()
+	if b.state == backupEnded {
+		return false
+	}
+	b.state = backupSent
+	return true
+}
+
+// choose ends the first attempt in favour of one that has begun to be answered. It returns false if the
+// first one has gone on meanwhile, or if the answer cannot continue what the caller has.
+func (b *backup) choose(a *attempt) bool {
+	p := &b.x.progress
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isUsable := a.answer.Status < http.StatusInternalServerError && !isNotRunStatus(a.answer.Status)
+	if p.isHeadSent {
+		isUsable = a.answer.Status == http.StatusOK
+	}
+	if b.state == backupEnded || !isUsable {
+		return false
+	}
+	b.state = backupChosen
+	b.first.cancel(errStalled)
+	return true
+}
+
+// exclude keeps further attempts of the call from an upstream.
+func (x *exchange) exclude(id string) {
+	x.progress.mu.Lock()
+	defer x.progress.mu.Unlock()
+	x.excluded[id] = true
+}
+
+// takeBackup ends the search for another upstream, once the attempt under way has ended. It returns the
+// attempt that has taken over; nil if there is none.
+func (x *exchange) takeBackup() *attempt {
+	x.progress.mu.Lock()
+	b := x.progress.backup
+	x.progress.backup = nil
+	if b != nil && b.state == backupSearching {
+		b.state = backupEnded
+		b.cancel()
+	}
+	x.progress.mu.Unlock()
+	x.searches.Wait()
+	if b == nil {
+		return nil
+	}
+	for id := range b.excluded {
+		x.exclude(id)
+	}
+	return b.answered
+}
+
+// dropBackup ends the search when the call has ended.
+func (x *exchange) dropBackup() {
+	x.progress.mu.Lock()
+	x.progress.endSearch()
+	x.progress.mu.Unlock()
+	x.searches.Wait()
+}
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,15 +47,13 @@
 	digest   string
 	cancel   context.CancelCauseFunc
 
-	excluded    map[string]bool
-	runs        int  // attempts that may have run
-	isUnknown   bool // an attempt may have run, and its answer cannot be forwarded
-	isHeadSent  bool // the head of the answer was sent to the caller
-	lastEvent   string
+	progress    progress
+	searches    sync.WaitGroup    // goroutines of backups
+	excluded    map[string]bool   // guarded by progress.mu
+	hasBegun    bool              // the head of a stream was sent
 	queueTime   time.Duration     // from arrival to the start of the last attempt
 	first       time.Duration     // from arrival to the first event of a stream
 	lastEventAt time.Time         // when the last event was written to the caller
-	weights     int64             // version of the weights that has answered so far; 0 for none
 	held        []*collector.Body // answers in memory until the call ends
 	// errorAnswer is a server error of an upstream. It is forwarded if no other attempt succeeds.
 	errorAnswer *bufferedAnswer
@@ -101,46 +100,32 @@
 		defer x.f.removePending(x)
 	}
 	x.f.first(x.service.Name)
+	defer x.dropBackup()
+	var taken *attempt // that has begun to be answered while another one was silent
 	for {
-		u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest())
-		x.f.recordAssignment(x.service.Name, refusal)
-		if refusal != nil {
-			if len(x.excluded) > 0 {
-				x.log("no upstream for another attempt", zap.String("Reason", string(refusal.Reason)))
+		a := taken
+		if a == nil {
+			if a = x.acquire(ctx); a == nil {
+				return
 			}
-			x.finish(ctx, refusal)
-			return
-		}
-		if remaining := x.f.quarantinedFor(x.digest, x.call.PromptParts); remaining > 0 {
-			// The end of another banned call may have freed the slot before the ban has ended this one.
-			x.f.c.Assigner.Finished(u.ID, balancer.Abandoned)
-			x.finish(ctx, quarantined(remaining))
-			return
 		}
-		x.queueTime = time.Since(x.started)
-		switch x.attempt(ctx, u) {
+		switch x.perform(ctx, a) {
 		case delivered:
-			x.log("answered", zap.String("Upstream", u.ID), zap.Int("Rank", x.rank.Urgency()),
-				zap.Duration("Waited", x.queueTime), zap.Duration("First", x.first), zap.Int64("Weights", x.weights))
+			x.log("answered", zap.String("Upstream", a.upstream.ID), zap.Int("Rank", x.rank.Urgency()),
+				zap.Duration("Waited", x.queueTime), zap.Duration("First", x.first), zap.Int64("Weights", x.progress.position().weights))
 			x.recordAnswered()
 			return
 		case callerGone:
 			return
 		case notRun:
 		case unknown:
-			x.isUnknown = true
-			if !x.mayRetryAfterRun() {
-				x.finish(ctx, nil)
-				return
-			}
+			x.progress.setUnknown()
 		}
-		x.excluded[u.ID] = true
-		if ctx.Err() != nil {
-			x.finish(ctx, nil)
-			return
+		x.exclude(a.upstream.ID)
+		if taken = x.takeBackup(); taken != nil {
+			continue
 		}
-		if !x.f.allowRetry(x.service.Name) {
-			x.log("the retry budget allows no other attempt")
+		if !x.mayTryAgain(ctx) {
 			x.finish(ctx, nil)
 			return
 		}
@@ -148,6 +133,52 @@
 	}
 }
 
+// acquire waits for an upstream. It ends the call and returns nil if there is none.
+func (x *exchange) acquire(ctx context.Context) *attempt {
+	from := x.progress.position()
+	u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(from, x.excluded, x.waitUntil()))
+	x.f.recordAssignment(x.service.Name, refusal)
+	if refusal != nil {
+		if len(x.excluded) > 0 {
+			x.log("no upstream for another attempt", zap.String("Reason", string(refusal.Reason)))
+		}
+		x.finish(ctx, refusal)
+		return nil
+	}
+	a := newAttempt(x, u, from)
+	if remaining := x.f.quarantinedFor(x.digest, x.call.PromptParts); remaining > 0 {
+		// The end of another banned call may have freed the slot before the ban has ended this one.
+		a.end(ctx, balancer.Abandoned)
+		x.finish(ctx, quarantined(remaining))
+		return nil
+	}
+	x.queueTime = time.Since(x.started)
+	return a
+}
+
+// perform makes an attempt, or goes on with one that has begun to be answered, and reports the result to the
+// assigner.
+func (x *exchange) perform(ctx context.Context, a *attempt) outcome {
+	o, result := a.run(ctx)
+	a.end(ctx, result)
+	return o
+}
+
+// mayTryAgain reports whether a call that no attempt has delivered may be sent once more.
+func (x *exchange) mayTryAgain(ctx context.Context) bool {
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case x.progress.hasUnknown() && !x.mayRetryAfterRun():
+		return false
+	case !x.f.allowRetry(x.service.Name):
+		x.log("the retry budget allows no other attempt")
+		return false
+	default:
+		return true
+	}
+}
+
 // release gives up the answers that are held in memory.
 func (x *exchange) release() {
 	for _, b := range x.held {
@@ -171,11 +202,19 @@
 }
 
 func (x *exchange) mayRetryAfterRun() bool {
-	return x.route.IsRepeatable() && x.runs < x.route.Attempts && !x.f.mayCrash(x.digest, x.call.PromptParts)
+	return x.route.IsRepeatable() && x.progress.countRuns() < x.route.Attempts && !x.f.mayCrash(x.digest, x.call.PromptParts)
 }
 
-// assignerRequest describes the call to the assigner.
-func (x *exchange) assignerRequest() assigner.Request {
+// waitUntil returns until when a call may wait for an upstream.
+func (x *exchange) waitUntil() time.Time {
+	if x.service.Engine == nil {
+		return x.deadline
+	}
+	return x.started.Add(time.Duration(float64(x.deadline.Sub(x.started)) * maxQueueFraction))
+}
+
+// assignerRequest describes to the assigner an attempt that goes on from a position.
+func (x *exchange) assignerRequest(from position, excluded map[string]bool, waitUntil time.Time) assigner.Request {
 	firstEventTime := firstEventOverhead
 	if e := x.service.Engine; e != nil && e.ReadRate > 0 {
 		firstEventTime += time.Duration(float64(x.call.PromptTokens) / e.ReadRate * float64(time.Second))
@@ -183,18 +222,17 @@
 	request := assigner.Request{
 		Requirements: balancer.Requirements{
 			Service:      x.service.Name,
-			Exclude:      x.excluded,
+			Exclude:      excluded,
 			NeedsWeights: x.service.Engine != nil,
-			Weights:      x.weights,
+			Weights:      from.weights,
 		},
 		Rank:      x.rank,
 		Arrived:   x.started,
 		StartBy:   x.started.Add(x.route.Goal - firstEventTime),
-		WaitUntil: x.started.Add(time.Duration(float64(x.deadline.Sub(x.started)) * maxQueueFraction)),
+		WaitUntil: waitUntil,
 	}
 	if x.service.Engine == nil {
 		request.Requirements.ExtraSlots = plainQueueSlots
-		request.WaitUntil = x.deadline
 	} else {
 		request.Requirements.ExtraSlots = modelExtraSlots(x.rank)
 		request.Requirements.Tokens = x.call.PromptTokens
@@ -247,16 +285,16 @@
 // finish ends a call that no attempt has delivered.
 func (x *exchange) finish(ctx context.Context, refusal *foxtailwharf.Refusal) {
 	switch {
-	case x.isHeadSent:
-		x.log("answer to the caller aborted after its head was sent", zap.String("LastEvent", x.lastEvent))
+	case x.progress.hasHead():
+		x.log("answer to the caller aborted after its head was sent", zap.String("LastEvent", x.progress.position().lastEvent))
 		// Aborts the connection, so that the caller does not take the truncated answer for
 		// complete.
 		panic(http.ErrAbortHandler)
 	case x.errorAnswer != nil:
 		x.writeBuffered(x.errorAnswer)
-	case x.isUnknown && !x.route.IsRepeatable():
+	case x.progress.hasUnknown() && !x.route.IsRepeatable():
 		x.refuse(foxtailwharf.OutcomeUnknown(x.unknownReason(ctx), "the call may have run, and its outcome is unknown"))
-	case x.isUnknown:
+	case x.progress.hasUnknown():
 		x.refuse(foxtailwharf.OutcomeUnknown(x.unknownReason(ctx), "no upstream sent a complete answer"))
 	case errors.Is(context.Cause(ctx), errQuarantined):
 		x.refuse(quarantined(x.f.quarantinedFor(x.digest, x.call.PromptParts)))
@@ -295,21 +333,10 @@
 // log adds the fields that all log lines of the call have.
 func (x *exchange) log(message string, fields ...zap.Field) {
 	fields = append(fields, zap.String("Call", x.call.ID), zap.Int64("Configuration", x.version),
-		zap.String("Service", x.service.Name), zap.Int("Runs", x.runs), zap.Duration("After", time.Since(x.started)))
+		zap.String("Service", x.service.Name), zap.Int("Runs", x.progress.countRuns()), zap.Duration("After", time.Since(x.started)))
 	x.f.c.Log.Info("call: "+message, fields...)
 }
 
-// attempt sends the call to one upstream and reports the result to the assigner.
-func (x *exchange) attempt(ctx context.Context, u foxtailwharf.Upstream) outcome {
-	a := &attempt{x: x, upstream: u}
-	o, result := a.run(ctx)
-	if ctx.Err() != nil && result == balancer.Failed {
-		result = balancer.Abandoned
-	}
-	x.f.c.Assigner.Finished(u.ID, result)
-	return o
-}
-
 // boundWrite gives the next write to the caller callerWriteTimeout. A caller that does not read would
 // hold the call, and what it has in memory, for as long as its connection is open.
 func (x *exchange) boundWrite() {
@@ -329,10 +356,10 @@
 
 // beginStream sends the head of a stream, unless it was sent already.
 func (x *exchange) beginStream(status int, header http.Header) {
-	if x.isHeadSent {
+	if x.hasBegun {
 		return
 	}
-	x.isHeadSent = true
+	x.hasBegun = true
 	x.first = time.Since(x.started)
 	copyHeader(x.w.Header(), header)
 	x.w.WriteHeader(status)
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -190,6 +190,13 @@
 	return f.retries.AllowRetry(time.Now(), service)
 }
 
+// returnRetry gives back a retry that was allowed and not made.
+func (f *Forwarder) returnRetry(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retries.ReturnRetry(time.Now(), service)
+}
+
 // randomFloat returns a random number in [0, 1).
 func (f *Forwarder) randomFloat() float64 {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/request/forwarder/progress.go
@@ -0,0 +1,121 @@
+package forwarder
+
+import "sync"
+
+// progress is how far the answer to a call has come. Two attempts may share it: one at an upstream that is
+// silent, and the one that looks for another upstream meanwhile.
+type progress struct {
+	mu         sync.Mutex
+	runs       int // attempts that may have run, those under way included
+	isUnknown  bool
+	isHeadSent bool
+	lastEvent  string
+	weights    int64
+	backup     *backup // of the attempt under way; nil for none
+}
+
+// position is the part of a progress from which another attempt goes on.
+type position struct {
+	lastEvent string
+	weights   int64 // version of the weights that has answered so far; 0 for none
+}
+
+// startRun counts an attempt that may run from now on.
+func (p *progress) startRun() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs++
+}
+
+// dropRun takes back the count of an attempt that has not run.
+func (p *progress) dropRun() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs--
+}
+
+func (p *progress) countRuns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs
+}
+
+// setUnknown records that an attempt may have run and that its answer cannot be forwarded.
+func (p *progress) setUnknown() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isUnknown = true
+}
+
+func (p *progress) hasUnknown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isUnknown
+}
+
+func (p *progress) hasHead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isHeadSent
+}
+
+func (p *progress) hasBackup() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backup != nil
+}
+
+func (p *progress) position() position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return position{lastEvent: p.lastEvent, weights: p.weights}
+}
+
+// setWeights records the version of the weights that answers from now on.
+func (p *progress) setWeights(weights int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.weights = weights
+}
+
+// advance records that the attempt under way has received more of its answer, and ends the search for
+// another upstream. It returns false if another upstream answers already: the attempt must forward nothing
+// more.
+func (p *progress) advance() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endSearch()
+}
+
+// advanceStream is advance for an event of a stream, which is about to be forwarded. An event without data
+// shows no progress and ends the search only if it moves the position or begins the answer.
+func (p *progress) advanceStream(id string, hasData bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.backup != nil && p.backup.state == backupChosen {
+		return false
+	}
+	if (hasData || id != "" || !p.isHeadSent) && !p.endSearch() {
+		return false
+	}
+	p.isHeadSent = true
+	if id != "" {
+		p.lastEvent = id
+	}
+	return true
+}
+
+// endSearch cancels the backup. It returns false if the backup has been chosen. The lock must be held.
+func (p *progress) endSearch() bool {
+	b := p.backup
+	if b == nil {
+		return true
+	}
+	if b.state == backupChosen {
+		return false
+	}
+	b.state = backupEnded
+	b.cancel()
+	p.backup = nil
+	return true
+}
--- /dev/null
+++ b/internal/request/forwarder/silence_test.go
@@ -0,0 +1,206 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+)
+
+// silence is how long a sound upstream sends nothing in these tests.
+const silence = 1700 * time.Millisecond
+
+// sayNothing waits until the time is over or the call has ended.
+func sayNothing(r *http.Request, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-r.Context().Done():
+	}
+}
+
+// silentStream streams the events 1 to 6 and is silent once, before an event.
+func silentStream(before int, length time.Duration) func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		first := 1
+		if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+			first = last + 1
+		}
+		for n := first; n <= 6; n++ {
+			if n == before {
+				sayNothing(r, length)
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// silentText answers in two parts and is silent before the first or before the second.
+func silentText(before int, length time.Duration) func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		for n := 1; n <= 2; n++ {
+			if n == before {
+				sayNothing(r, length)
+			}
+			_, _ = io.WriteString(w, "part"+strconv.Itoa(n))
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// silently serves an upstream that ends only with its call.
+func silently(_ http.ResponseWriter, r *http.Request) {
+	<-r.Context().Done()
+}
+
+// setAttempts replaces the routes by copies with another number of attempts.
+func (b *bench) setAttempts(attempts int) {
+	c := *b.view.Configuration
+	c.Routes = nil
+	for _, r := range b.view.Configuration.Routes {
+		r.Attempts = attempts
+		c.Routes = append(c.Routes, r)
+	}
+	b.view.Configuration = &c
+	b.update()
+}
+
+// TestSilentUpstreamIsGivenUpWithoutAnother plays sound upstreams that are silent for more than a second
+// and go on, where no other one takes over.
+func TestSilentUpstreamIsGivenUpWithoutAnother(t *testing.T) {
+	others := []struct {
+		name    string
+		prepare func(b *bench)
+	}{
+		{"no other upstream", func(*bench) {}},
+		{"the other one refuses", func(b *bench) { b.upstream(3, refuse) }},
+		{"the other one cannot be reached", func(b *bench) { b.view.Upstreams = append(b.view.Upstreams, upstreamAt(4)); b.update() }},
+		{"the other one is as silent", func(b *bench) { b.upstream(3, silently) }},
+		{"the other one breaks off", func(b *bench) { b.upstream(3, breakOff) }},
+		{"the other one fails", func(b *bench) { b.upstream(3, text(http.StatusInternalServerError, "bad")) }},
+		{"the other one is full", func(b *bench) {
+			b.view.Upstreams = append(b.view.Upstreams, upstreamAt(3))
+			b.update()
+			b.assigner.Update(func(x *balancer.Balancer) {
+				for range 40 {
+					x.Sent(time.Now(), "3", 0)
+				}
+			})
+		}},
+		{"no retry is left in the budget", func(b *bench) {
+			b.forwarder.SetRetryExtra(0)
+			b.upstream(3, text(http.StatusOK, "other"))
+		}},
+		{"the configuration changes", func(b *bench) { time.AfterFunc(silence/2, func() { b.setAttempts(3) }) }},
+	}
+	tests := []struct {
+		path, want string
+		answer     func(w http.ResponseWriter, r *http.Request)
+	}{
+		{"/look/1", "part1part2", silentText(1, silence)},
+		{"/look/1", "part1part2", silentText(2, silence)},
+		{"/book/1", "part1part2", silentText(1, silence)},
+		{"/chat/1", "1 2 3 4 5 6", silentStream(1, silence)},
+		{"/chat/1", "1 2 3 4 5 6", silentStream(4, silence)},
+		{"/tale/1", "1 2 3 4 5 6", silentStream(4, silence)},
+	}
+	for _, o := range others {
+		for i, tt := range tests {
+			t.Run(fmt.Sprintf("%s/%d", o.name, i), func(t *testing.T) {
+				run(t, func(b *bench) {
+					b.upstream(2, tt.answer)
+					// The other upstream is added once the call is at the silent one.
+					time.AfterFunc(100*time.Millisecond, func() { o.prepare(b) })
+					a := b.call(tt.path, nil)
+					have := a.body
+					if strings.Contains(a.body, "id: ") {
+						have = strings.Join(ids(a.body), " ")
+					}
+					if a.err != nil || a.status != http.StatusOK || have != tt.want {
+						t.Errorf("have %d %q, %v, want 200 %q of the upstream that went on", a.status, have, a.err, tt.want)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestAnotherUpstreamTakesOver checks that a silent upstream is replaced soon where another one can answer.
+func TestAnotherUpstreamTakesOver(t *testing.T) {
+	tests := []struct {
+		path, want string
+		silent     func(w http.ResponseWriter, r *http.Request)
+		other      func(w http.ResponseWriter, r *http.Request)
+	}{
+		{"/look/1", "other", silently, text(http.StatusOK, "other")},
+		{"/chat/1", "1 2 3 4 5 6", silently, events(1, 6, false)},
+		{"/chat/1", "1 2 3 4 5 6", silentStream(4, time.Minute), events(1, 6, false)},
+	}
+	for i, tt := range tests {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.upstream(2, tt.silent)
+				time.AfterFunc(100*time.Millisecond, func() { b.upstream(3, tt.other) })
+				started := time.Now()
+				a := b.call(tt.path, nil)
+				have := a.body
+				if strings.Contains(a.body, "id: ") {
+					have = strings.Join(ids(a.body), " ")
+				}
+				if a.status != http.StatusOK || have != tt.want || time.Since(started) > 2*time.Second {
+					t.Errorf("have %d %q after %s, want %q within 2s", a.status, have, time.Since(started), tt.want)
+				}
+				if runs := b.ran(a); runs != 2 {
+					t.Errorf("ran %d times, want 2", runs)
+				}
+			})
+		})
+	}
+}
+
+// TestSilentUpstreamStopsWithItsCall checks that no upstream keeps running once the call has its answer.
+func TestSilentUpstreamStopsWithItsCall(t *testing.T) {
+	run(t, func(b *bench) {
+		stopped := make(chan time.Time, 1)
+		b.upstream(2, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			stopped <- time.Now()
+		})
+		time.AfterFunc(100*time.Millisecond, func() { b.upstream(3, text(http.StatusOK, "other")) })
+		if a := b.call("/look/1", nil); a.body != "other" {
+			t.Fatalf("have %d %q, want the answer of the other upstream", a.status, a.body)
+		}
+		answered := time.Now()
+		if after := (<-stopped).Sub(answered); after > 100*time.Millisecond {
+			t.Errorf("the silent upstream ran for %s after the answer", after)
+		}
+	})
+}
+
+// TestFirstUpstreamGoesOnBeforeTheOther checks that the second upstream is let go if the first one answers
+// before it.
+func TestFirstUpstreamGoesOnBeforeTheOther(t *testing.T) {
+	run(t, func(b *bench) {
+		stopped := make(chan time.Time, 1)
+		b.upstream(2, silentStream(4, silence))
+		time.AfterFunc(100*time.Millisecond, func() {
+			b.upstream(3, func(_ http.ResponseWriter, r *http.Request) {
+				<-r.Context().Done()
+				stopped <- time.Now()
+			})
+		})
+		a := b.call("/chat/1", nil)
+		if have := strings.Join(ids(a.body), " "); a.err != nil || have != "1 2 3 4 5 6" {
+			t.Errorf("have events %s, %v, want 1 to 6 once each", have, a.err)
+		}
+		answered := time.Now()
+		if after := (<-stopped).Sub(answered); after > 100*time.Millisecond {
+			t.Errorf("the second upstream ran for %s after the answer", after)
+		}
+	})
+}
--- a/internal/request/retrylimiter/retrylimiter.go
+++ b/internal/request/retrylimiter/retrylimiter.go
@@ -59,6 +59,17 @@
 	return true
 }
 
+// ReturnRetry gives back a retry that was allowed and not made.
+func (l *Limiter) ReturnRetry(now time.Time, service string) {
+	w := l.window(now, service)
+	for i := range steps {
+		if w.retries[i] > 0 {
+			w.retries[i]--
+			return
+		}
+	}
+}
+
 // window returns the counts of a service after sliding its window to now.
 func (l *Limiter) window(now time.Time, service string) *window {
 	step := int64(now.Sub(l.started) / (l.c.Window / steps))
--- a/internal/request/retrylimiter/retrylimiter_test.go
+++ b/internal/request/retrylimiter/retrylimiter_test.go
@@ -60,3 +60,18 @@
 		t.Error("the budget should be restored after a window")
 	}
 }
+
+func TestReturnedRetryIsAllowedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := retrylimiter.New(retrylimiter.Config{Window: 10 * time.Second, Extra: 1}, now)
+	for _, pause := range []time.Duration{0, 3 * time.Second} {
+		if !r.AllowRetry(now, "s") || r.AllowRetry(now, "s") {
+			t.Fatal("want one retry in the window")
+		}
+		now = now.Add(pause)
+		r.ReturnRetry(now, "s")
+	}
+	if !r.AllowRetry(now, "s") {
+		t.Error("want the returned retry to be allowed again")
+	}
+}
