An agent's word that its engine does not answer ends no call

What callers saw: refusals as OutcomeUnknown, also of calls that nobody else may run, and streams broken off, half a second after their sound engine had fallen silent (LOST). Cause: an agent whose engine does not return its state within 0.4 s reports it as down, and entries then ended all its calls. The calls also came under suspicion of having crashed the engine, as if their connections had broken. Class: as before, a suspicion ended what was sound. Evidence: TestSilentEngineIsReportedDown failed on all four kinds of routes: 502 for /book/ and /look/, "unexpected EOF" after the third event for /tale/ and /chat/. Change: only a younger run of the upstream, or the call's own connection, tells that it has ended. A report that it is down starts the search for another upstream at once, where the call may be repeated. Together with a broken connection it still is evidence of a crash. Measured: all cases pass; TestEngineDownIsReplacedSoon has the other upstream's answer within 0.5 s, as before.

--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -158,7 +158,21 @@
 	return a.queue.Len()
 }
 
-// IsLost reports whether an upstream is known to be down or restarted, as Balancer.IsLost does.
+// HasEnded reports whether an upstream has ended, as Balancer.HasEnded does.
+func (a *Assigner) HasEnded(u foxtailwharf.Upstream) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.HasEnded(time.Now(), u.ID, u.Born)
+}
+
+// IsSuspect reports whether an upstream does not answer its agent, as Balancer.IsSuspect does.
+func (a *Assigner) IsSuspect(u foxtailwharf.Upstream) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.IsSuspect(time.Now(), u.ID)
+}
+
+// IsLost reports whether an upstream has ended or is a suspect, as Balancer.IsLost does.
 func (a *Assigner) IsLost(u foxtailwharf.Upstream) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -258,17 +258,29 @@
 	return u != nil && u.load.IsLoading && u.reportAge(now) < stateLifetime
 }
 
-// IsLost reports whether a younger upstream is listed under the upstream's ID or at its address, or a
-// recent report says that it is down or was restarted after born. It is false for upstreams that are not listed.
-// One that is leaving may refuse new connections, those of its agent included, while it finishes calls: only
-// their own connections tell whether it is down.
-func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
+// HasEnded reports whether a younger upstream is listed under the upstream's ID or at its address, or a
+// recent report says that it was restarted after born. It is false for upstreams that are not listed.
+func (b *Balancer) HasEnded(now time.Time, id string, born time.Time) bool {
 	u := b.byID[id]
-	if u != nil && (u.isReplaced || u.Born.After(born)) {
-		return true
-	}
-	if u == nil || u.reportAge(now) > loadLifetime {
+	switch {
+	case u == nil:
 		return false
+	case u.isReplaced || u.Born.After(born):
+		return true
+	default:
+		return u.reportAge(now) <= loadLifetime && !u.load.Born.IsZero() && u.load.Born.After(born)
 	}
-	return (u.load.IsDown && !u.IsDraining) || (!u.load.Born.IsZero() && u.load.Born.After(born))
+}
+
+// IsSuspect reports whether a recent report says that an upstream does not answer its agent. It may be
+// silent for a while, or take no new connections, and still answer the calls that it has.
+func (b *Balancer) IsSuspect(now time.Time, id string) bool {
+	u := b.byID[id]
+	return u != nil && u.reportAge(now) <= loadLifetime && u.load.IsDown && !u.IsDraining
+}
+
+// IsLost reports whether an upstream has ended or is a suspect. Together with a broken connection this tells
+// that it has crashed.
+func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
+	return b.HasEnded(now, id, born) || b.IsSuspect(now, id)
 }
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -165,16 +165,19 @@
 	return max(firstEventTimeout, time.Duration(float64(a.x.route.Goal)*firstEventTimeoutGoals))
 }
 
-// checkUpstream cancels the attempt if the upstream has ended, or if the weights that it holds
-// may no longer begin an answer.
+// checkUpstream cancels the attempt if the upstream has ended, or if the weights that it holds may no
+// longer begin an answer. If the upstream does not answer its agent, another one is sought.
 func (a *attempt) checkUpstream() {
 	if a.isDone.Load() {
 		return
 	}
-	if a.x.f.c.Assigner.IsLost(a.upstream) {
+	if a.x.f.c.Assigner.HasEnded(a.upstream) {
 		a.cancel(errUpstreamEnded)
 		return
 	}
+	if a.x.f.c.Assigner.IsSuspect(a.upstream) {
+		a.x.startBackup(a.parent, a)
+	}
 	next := upstreamCheckInterval
 	if startDeadline := a.startDeadline(); !startDeadline.IsZero() {
 		left := time.Until(startDeadline)
--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 )
 
@@ -204,3 +205,39 @@
 		}
 	})
 }
+
+// TestSilentEngineIsReportedDown guards against calls that are ended because their engine does not answer its
+// agent in time.
+func TestSilentEngineIsReportedDown(t *testing.T) {
+	for _, path := range []string{"/book/1", "/tale/1", "/chat/1", "/look/1"} {
+		run(t, func(b *bench) {
+			answer := silentText(1, silence)
+			if path == "/tale/1" || path == "/chat/1" {
+				answer = silentStream(4, silence)
+			}
+			b.upstream(2, answer)
+			time.AfterFunc(silence/3, func() {
+				b.assigner.Report(address(2).Addr(), foxtailwharf.UpstreamLoad{IsDown: true, Running: 1})
+			})
+			if a := b.call(path, nil); a.err != nil || a.status != http.StatusOK {
+				t.Errorf("%s: have %d %q, %v, want the whole answer", path, a.status, a.body, a.err)
+			}
+		})
+	}
+}
+
+// TestEngineDownIsReplacedSoon checks that another upstream takes over as soon as the agent reports that its
+// engine does not answer, and not only when the call has been silent for long.
+func TestEngineDownIsReplacedSoon(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, silently)
+		time.AfterFunc(100*time.Millisecond, func() {
+			b.upstream(3, text(http.StatusOK, "other"))
+			b.assigner.Report(address(2).Addr(), foxtailwharf.UpstreamLoad{IsDown: true, Running: 1})
+		})
+		started := time.Now()
+		if a := b.call("/look/1", nil); a.body != "other" || time.Since(started) > 500*time.Millisecond {
+			t.Errorf("have %d %q after %s, want the answer of the other upstream within 500ms", a.status, a.body, time.Since(started))
+		}
+	})
+}
