A response that bears another call's ID says nothing about the call

What callers saw: an upstream that writes an earlier refusal once more made callers be told "not run" (503) for a call that the upstream ran, or the call ran again elsewhere, more often than its route allows; the limit of such a refusal counted too.

Cause: ReadReply compared the ID only for the signature; "not run", "misdirected" and the limit were taken from any response.

Evidence, on the code before: of TestRefusalOfAnotherCall's 42 cases (six refusals; calls that may run once, that may be repeated, streams; new and kept connections) 36 fail, as "/book/1: status 503 after 3 runs, want 502 after 1" and "3 upstreams count as limited by the answer to another call"; after a 421 the connection was used again. TestResumedStreamMeetsRefusalOfAnotherCall: "events 1 2 3 after 3 runs", of a stream that may run twice. Five new cases of TestReply fail.

Change: a response without the ID of the call decodes to the zero Reply, so that the outcome is unknown: a call that may run once is not sent again and is refused with 502; a repeatable one counts a run and is sent to another upstream within its attempts and the retry budget. The connection is closed, because the response is not read. The upstream counts a failure as before for responses of other calls.

- A response without any ID counts as one of another call: upstreams echo the ID, also in refusals, and only a request without an ID is refused without one.
To believe it would be a guess, and a wrong "not run" can't be taken back.
- The real response might follow on the same connection.
It is not waited for: which of several responses is real would depend on the faulty upstream alone, and the connection can't be kept in any case.
- An older case of TestReply, "moved", expected a 421 without an ID to be believed.
It now bears the ID, and the case without one expects the opposite.

--- a/call.go
+++ b/call.go
@@ -40,14 +40,15 @@
 	LastEventID string
 }
 
-// Reply is the decoded status and header of an upstream's response.
+// Reply is the decoded status and header of an upstream's response. Of a response that does not have the
+// ID of the call, nothing counts: it is the zero value.
 type Reply struct {
 	// IsNotRun is true if the upstream did not run the call and will not run it.
 	IsNotRun bool
 	// IsMisdirected is true if the call reached another upstream than intended, or one with other
 	// weights.
 	IsMisdirected bool
-	// IsAuthentic is true if the response has the ID of the call and a signature of the upstream.
+	// IsAuthentic is true if the response has a signature of the upstream.
 	IsAuthentic bool
 	Weights     int64 // version of the weights that answered; 0 if the header has none
 	// HasLimit is true if the upstream names a limit: the calls a second that it takes from all
--- a/standin/dialect.go
+++ b/standin/dialect.go
@@ -79,11 +79,14 @@
 
 // ReadReply reads the header of an upstream's response.
 func (Dialect) ReadReply(callID string, status int, header http.Header) foxtailwharf.Reply {
+	if header.Get(HeaderCall) != callID {
+		return foxtailwharf.Reply{}
+	}
 	limit, err := strconv.ParseFloat(header.Get(HeaderLimit), 64)
 	return foxtailwharf.Reply{
 		IsNotRun:      header.Get(HeaderNotRun) != "",
 		IsMisdirected: status == http.StatusMisdirectedRequest,
-		IsAuthentic:   header.Get(HeaderCall) == callID && header.Get(HeaderSigned) != "",
+		IsAuthentic:   header.Get(HeaderSigned) != "",
 		Weights:       int64(intOrZero(header.Get(HeaderVersion))),
 		HasLimit:      err == nil,
 		Limit:         limit,
