A stream goes on with a stream only, not with the text of another answer

What callers saw: a resumable stream had begun and broke off, and the next upstream answered 200 with something that is no stream: its text stood in the middle of the caller's stream, or the stream ended as if it were complete.

Cause: any signed 200 on a stream route was read as events, also when a stream was to be resumed. Text that ends in a blank line passes as an event, and an empty body as the end.

Change: once the head of an event stream was sent, only an answer that is an event stream too goes on with it. Where the first head announced no event stream, nothing changes.

The test bench takes any network now, so that scenarios also run over TCP on the loopback interface.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -320,6 +321,10 @@
 // forwardStream forwards complete events as they arrive.
 func (a *attempt) forwardStream(ctx context.Context) (outcome, balancer.Result) {
 	x := a.x
+	if !x.progress.canContinue(a) {
+		a.log("upstream did not resume the stream", zap.String("Type", a.answer.Header.Get("Content-Type")))
+		return unknown, balancer.Failed
+	}
 	x.progress.setWeights(a.reply.Weights)
 	header := x.f.c.Dialect.AnswerHeader(a.answer.Header)
 	events := splitter.New(a.answer)
@@ -339,7 +344,7 @@
 		case err != nil:
 			return a.handleBroken(ctx, err)
 		}
-		if !x.progress.advanceStream(event.ID, event.HasData) {
+		if !x.progress.advanceStream(event, isEventStream(header)) {
 			return unknown, balancer.Stalled
 		}
 		if event.HasData {
@@ -357,6 +362,12 @@
 	}
 }
 
+// isEventStream reports whether the body of an answer is a stream of events.
+func isEventStream(header http.Header) bool {
+	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // resetStallTimer restarts the stall timer after an event or a part of an answer.
 func (a *attempt) resetStallTimer() {
 	a.stallTimer.Reset(max(eventTimeout, eventTimeoutPauses*a.x.route.Gap))
--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -133,7 +133,7 @@
 	defer p.mu.Unlock()
 	isUsable := a.answer.Status < http.StatusInternalServerError && !isNotRunStatus(a.answer.Status)
 	if p.isHeadSent {
-		isUsable = a.answer.Status == http.StatusOK
+		isUsable = a.answer.Status == http.StatusOK && p.continues(a)
 	}
 	if b.state == backupEnded || !isUsable {
 		return false
--- a/internal/request/forwarder/bench_test.go
+++ b/internal/request/forwarder/bench_test.go
@@ -31,20 +31,19 @@
 
 const maxConfigurationAge = 5 * time.Second
 
-// bench runs one forwarder and its upstreams on an in-memory network.
+// bench runs one forwarder and its upstreams on one network.
 type bench struct {
-	t             *testing.T
-	memoryNetwork *standin.MemoryNetwork
-	network       *standin.Host
-	requester     *requester.Requester
-	forwarder     *forwarder.Forwarder
-	assigner      *assigner.Assigner
-	client        *http.Client
-	view          follower.View
-	clock         time.Duration
-	servers       []*standin.Server
-	calls         atomic.Int64
-	warned        atomic.Int64
+	t         *testing.T
+	network   foxtailwharf.Network
+	requester *requester.Requester
+	forwarder *forwarder.Forwarder
+	assigner  *assigner.Assigner
+	client    *http.Client
+	view      follower.View
+	clock     time.Duration
+	servers   []*standin.Server
+	calls     atomic.Int64
+	warned    atomic.Int64
 
 	mu        sync.Mutex
 	runs      map[string]int  // of each call, counted by the upstreams
@@ -68,7 +67,7 @@
 func run(t *testing.T, scenario func(b *bench)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t)
+		b := newBench(t, newMemoryNetwork())
 		scenario(b)
 		// net/http waits for half a second on a connection whose body was not read.
 		time.Sleep(time.Second)
@@ -84,9 +83,13 @@
 	}
 }
 
-func newBench(t *testing.T) *bench {
-	memoryNetwork := standin.NewMemoryNetwork(time.Millisecond, 0)
-	b := &bench{t: t, memoryNetwork: memoryNetwork, network: memoryNetwork.Host("d", "r", 0), runs: make(map[string]int), published: make(map[string]bool)}
+// newMemoryNetwork returns a network for scenarios with fake time.
+func newMemoryNetwork() foxtailwharf.Network {
+	return standin.NewMemoryNetwork(time.Millisecond, 0).Host("d", "r", 0)
+}
+
+func newBench(t *testing.T, network foxtailwharf.Network) *bench {
+	b := &bench{t: t, network: network, runs: make(map[string]int), published: make(map[string]bool)}
 	b.assigner = assigner.New(balancer.New(balancer.Config{FailureDomain: "d", Random: rand.New(rand.NewPCG(1, 1))}))
 	b.requester = requester.New(requester.Config{Network: b.network})
 	b.forwarder = forwarder.New(forwarder.Config{
--- a/internal/request/forwarder/endless_test.go
+++ b/internal/request/forwarder/endless_test.go
@@ -94,7 +94,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newBench(t, newMemoryNetwork())
 			defer b.close()
 			b.checkEndless(tt.begin, tt.repeat, callCount)
 		})
--- a/internal/request/forwarder/foreign_test.go
+++ b/internal/request/forwarder/foreign_test.go
@@ -121,18 +121,6 @@
 	}
 }
 
-// keepConnection opens a connection to one upstream by a sound call.
-func (b *bench) keepConnection(n int) {
-	all := b.view.Upstreams
-	b.view.Upstreams = all[n-2 : n-1]
-	b.update()
-	if a := b.call("/look/1", nil); a.status != http.StatusOK {
-		b.t.Errorf("status %d, want a sound answer that keeps the connection", a.status)
-	}
-	b.view.Upstreams = all
-	b.update()
-}
-
 // TestResumedStreamMeetsRefusalOfAnotherCall checks that a refusal of another call counts as a run of the
 // stream: it may not be resumed more often than its route allows.
 func TestResumedStreamMeetsRefusalOfAnotherCall(t *testing.T) {
--- a/internal/request/forwarder/progress.go
+++ b/internal/request/forwarder/progress.go
@@ -1,17 +1,22 @@
 package forwarder
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
+)
 
 // progress is how far the answer to a call has come. Two attempts may share it: one at an upstream that is
 // silent, and the one that looks for another upstream meanwhile.
 type progress struct {
-	mu         sync.Mutex
-	runs       int // attempts that may have run, those under way included
-	isUnknown  bool
-	isHeadSent bool
-	lastEvent  string
-	weights    int64
-	backup     *backup // of the attempt under way; nil for none
+	mu            sync.Mutex
+	runs          int // attempts that may have run, those under way included
+	isUnknown     bool
+	isHeadSent    bool
+	isEventStream bool // that head announces a stream of events
+	lastEvent     string
+	weights       int64
+	backup        *backup // of the attempt under way; nil for none
 }
 
 // position is the part of a progress from which another attempt goes on.
@@ -89,22 +94,36 @@
 
 // advanceStream is advance for an event of a stream, which is about to be forwarded. An event without data
 // shows no progress and ends the search only if it moves the position or begins the answer.
-func (p *progress) advanceStream(id string, hasData bool) bool {
+func (p *progress) advanceStream(e splitter.Event, isEventStream bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.backup != nil && p.backup.state == backupChosen {
 		return false
 	}
-	if (hasData || id != "" || !p.isHeadSent) && !p.endSearch() {
+	if (e.HasData || e.ID != "" || !p.isHeadSent) && !p.endSearch() {
 		return false
 	}
-	p.isHeadSent = true
-	if id != "" {
-		p.lastEvent = id
+	if !p.isHeadSent {
+		p.isHeadSent, p.isEventStream = true, isEventStream
+	}
+	if e.ID != "" {
+		p.lastEvent = e.ID
 	}
 	return true
 }
 
+// canContinue reports whether the answer to an attempt may continue the stream that the caller has.
+func (p *progress) canContinue(a *attempt) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.continues(a)
+}
+
+// continues is canContinue while the lock is held.
+func (p *progress) continues(a *attempt) bool {
+	return !p.isEventStream || isEventStream(a.answer.Header)
+}
+
 // endSearch cancels the backup. It returns false if the backup has been chosen. The lock must be held.
 func (p *progress) endSearch() bool {
 	b := p.backup
