A stream goes on with the weights that have begun it

What callers saw: a resumable stream had begun and broke off, and went on at an upstream whose answer named other weights than the ones that had written so far, or none: text of two versions in one stream, which looked complete.

Cause: the forwarder asks for the version, but did not compare the answer's. A sound upstream with other weights refuses with 421; a faulty one, or one that has just switched, answers.

Evidence, on the code before: the eight new cases of TestErrorInResumedStream (other weights, unknown weights; in memory and over TCP; new and kept connections) fail: "have id: 1 ... id: 4 data: x after 2 runs, <nil>".

Change: where the head of an event stream was sent, only an answer with the same version goes on with it. A version that changes inside a stream and says so is not touched: the next upstream is asked for the newest, and has to name it.

After: the 72 cases pass, and so do the tests of forwarder, simulator, fleet and platform.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -322,7 +322,7 @@
 func (a *attempt) forwardStream(ctx context.Context) (outcome, balancer.Result) {
 	x := a.x
 	if !x.progress.canContinue(a) {
-		a.log("upstream did not resume the stream", zap.String("Type", a.answer.Header.Get("Content-Type")))
+		a.log("upstream did not resume the stream", zap.String("Type", a.answer.Header.Get("Content-Type")), zap.Int64("Weights", a.reply.Weights))
 		return unknown, balancer.Failed
 	}
 	x.progress.setWeights(a.reply.Weights)
--- a/internal/request/forwarder/progress.go
+++ b/internal/request/forwarder/progress.go
@@ -121,7 +121,7 @@
 
 // continues is canContinue while the lock is held.
 func (p *progress) continues(a *attempt) bool {
-	return !p.isEventStream || isEventStream(a.answer.Header)
+	return !p.isEventStream || (isEventStream(a.answer.Header) && a.reply.Weights == p.weights)
 }
 
 // endSearch cancels the backup. It returns false if the backup has been chosen. The lock must be held.
--- a/internal/request/forwarder/resumed_test.go
+++ b/internal/request/forwarder/resumed_test.go
@@ -60,6 +60,8 @@
 		{"200 that is no stream", whole("200 OK", "text\n\n", "Content-Type: text/plain", versionOne), false},
 		{"200 without a type", whole("200 OK", "text\n\n", versionOne), false},
 		{"200 without a body", whole("200 OK", "", "Content-Type: text/plain", versionOne), false},
+		{"stream of other weights", whole("200 OK", event(4), streamType, standin.HeaderVersion+": 2"), false},
+		{"stream of unknown weights", whole("200 OK", event(4), streamType), false},
 		{"head cut off", scripted{text: "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n", end: closes}, false},
 		{"no head", scripted{text: "error\n\n" + event(4), end: closes}, false},
 		{"reset", scripted{end: resets}, false},
