Test: answers cut off at each byte never look whole

A report from other operators: an upstream stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. Nothing of the kind is seen here; the test lands alone.

TestCutAnswer and TestCutStream cut seven answers and three streams (with a length, in chunks, with trailers, after an early hint, with bare line feeds, without a length) after each byte of status line, head, body, chunks and trailers, on new and kept connections, for calls that may run once, repeatable calls and streams that may and may not be resumed. Four of the ten are also cut and reset over TCP. Calls that may run once get 502, repeatable ones the answer of the next upstream, streams end as incomplete or go on.

An answer that has neither length nor chunks and is closed, not reset, within its body can't be told from a whole one.

--- a/internal/request/forwarder/script_test.go
+++ b/internal/request/forwarder/script_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/foxtailwharf/foxtailwharf/standin"
@@ -19,12 +20,16 @@
 	resets // over TCP; elsewhere it closes
 )
 
-// scripted is a response of a scriptedUpstream. CALL in the text is replaced by the ID of the call.
+// scripted is a response of a scriptedUpstream. CALL in the text is replaced by the ID of the call, and
+// REST by the chunks of the events after Last-Event-Id.
 type scripted struct {
 	text string
 	end  ending
 }
 
+// lastEvent is the number of the last event of a stream of REST.
+const lastEvent = 3
+
 // sound is an answer to a call to /look/ after which the connection is kept.
 var sound = scripted{text: signedHead("200 OK", "Content-Length: 2") + "ok"}
 
@@ -53,7 +58,8 @@
 			return
 		}
 		response := u.next(r)
-		if _, err := io.WriteString(conn, strings.ReplaceAll(response.text, "CALL", r.Header.Get(standin.HeaderCall))); err != nil {
+		text := strings.NewReplacer("CALL", r.Header.Get(standin.HeaderCall), "REST", rest(r)).Replace(response.text)
+		if _, err := io.WriteString(conn, text); err != nil {
 			return
 		}
 		if socket, isTCP := conn.(*net.TCPConn); isTCP && response.end == resets {
@@ -65,6 +71,19 @@
 	}
 }
 
+// rest returns the chunks of the events with which a stream goes on.
+func rest(r *http.Request) string {
+	last, err := strconv.Atoi(r.Header.Get(standin.HeaderLastEventID))
+	if err != nil {
+		last = 0 // a stream from the start
+	}
+	var text strings.Builder
+	for n := last + 1; n <= lastEvent; n++ {
+		_, _ = text.WriteString(chunks(event(n)))
+	}
+	return text.String()
+}
+
 // next counts a run and returns its response.
 func (u *scriptedUpstream) next(r *http.Request) scripted {
 	if r.URL.Path == "/look/keep" {
