Events that the caller has do not come again when an upstream ignores where to resume

What callers saw: a stream broke off after its third event, the next upstream began at the first one, and the caller got events 1 2 3 1 2 3 4 in a stream that looked complete; the same where the caller resumed the stream itself.

Cause: the forwarder sends Last-Event-Id and took for granted that the answer goes on after it.

Evidence, on the code before: four of the five cases of TestStreamThatStartsAgain fail: "status 200, id: 1 ... id: 3 data: x id: 1 ... id: 4 data: x after 2 runs, <nil>".

Change: in a stream that is resumed, by the forwarder or by the caller, an event with a number up to the last one ends the attempt before it is forwarded. The outcome is that of a stream that broke off: another upstream within the attempts, or an end as incomplete. IDs that are no numbers have no order and are not compared. What an upstream repeats within its own stream from the beginning is its answer and stays as it is. A gap isn't seen: an event may stand for several numbers.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -1,9 +1,11 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -328,6 +330,7 @@
 	x.progress.setWeights(a.reply.Weights)
 	header := x.f.c.Dialect.AnswerHeader(a.answer.Header)
 	events := splitter.New(a.answer)
+	resumedAfter := a.resumedAfter()
 	for {
 		event, err := events.Next()
 		switch {
@@ -344,6 +347,10 @@
 		case err != nil:
 			return a.handleBroken(ctx, err)
 		}
+		if isRepeated(event.ID, resumedAfter) {
+			a.log("upstream started the stream again", zap.String("Event", event.ID), zap.String("LastEvent", resumedAfter))
+			return unknown, balancer.Failed
+		}
 		if !x.progress.advanceStream(event, isEventStream(header)) {
 			return unknown, balancer.Stalled
 		}
@@ -362,6 +369,26 @@
 	}
 }
 
+// resumedAfter returns the ID of the event after which the answer has to go on; empty if it is to start
+// from the beginning.
+func (a *attempt) resumedAfter() string {
+	if !a.x.route.IsRepeatable() {
+		return ""
+	}
+	return cmp.Or(a.from.lastEvent, a.x.call.LastEventID)
+}
+
+// isRepeated reports whether an event has an ID up to the last one that the caller has. IDs that are no
+// numbers have no order.
+func isRepeated(id, last string) bool {
+	n, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	lastNumber, err := strconv.ParseInt(last, 10, 64)
+	return err == nil && n <= lastNumber
+}
+
 // isEventStream reports whether the body of an answer is a stream of events.
 func isEventStream(header http.Header) bool {
 	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
--- a/internal/request/forwarder/cut_test.go
+++ b/internal/request/forwarder/cut_test.go
@@ -88,12 +88,12 @@
 	for _, c := range answers {
 		cutEverywhere(t, c, func(b *bench, isKept bool, cut scripted) {
 			whole := scripted{text: c.text, end: closes}
-			if a := b.callScripted("/look/1", isKept, cut, whole); a.err != nil || a.status != http.StatusOK || a.body != c.body || b.ran(a) != 2 {
+			if a := b.callScripted("/look/1", isKept, nil, cut, whole); a.err != nil || a.status != http.StatusOK || a.body != c.body || b.ran(a) != 2 {
 				b.t.Errorf("repeatable, cut after %q: status %d, %q, %v after %d runs, want the answer of the second", cut.text, a.status, a.body, a.err, b.ran(a))
 			}
 		})
 		cutEverywhere(t, c, func(b *bench, isKept bool, cut scripted) {
-			if a := b.callScripted("/book/1", isKept, cut); a.status != http.StatusBadGateway || a.header.Get(standin.HeaderSigned) != "" || b.ran(a) != 1 {
+			if a := b.callScripted("/book/1", isKept, nil, cut); a.status != http.StatusBadGateway || a.header.Get(standin.HeaderSigned) != "" || b.ran(a) != 1 {
 				b.t.Errorf("once, cut after %q: status %d, %q, %v after %d runs, want 502 after one", cut.text, a.status, a.body, a.err, b.ran(a))
 			}
 		})
@@ -106,7 +106,7 @@
 	_, streams := cutAnswers()
 	for _, c := range streams {
 		cutEverywhere(t, c, func(b *bench, isKept bool, cut scripted) {
-			a := b.callScripted("/tale/1", isKept, cut)
+			a := b.callScripted("/tale/1", isKept, nil, cut)
 			isRefused := a.status == http.StatusBadGateway && a.header.Get(standin.HeaderSigned) == ""
 			isCut := a.status == http.StatusOK && a.err != nil && strings.HasPrefix(c.body, a.body) && len(a.body)%len(event(1)) == 0
 			if (!isRefused && !isCut) || b.ran(a) != 1 {
@@ -115,7 +115,7 @@
 		})
 		cutEverywhere(t, c, func(b *bench, isKept bool, cut scripted) {
 			rest := scripted{text: signedHead("200 OK", streamType, inChunks) + "REST" + lastChunk}
-			a := b.callScripted("/chat/1", isKept, cut, rest)
+			a := b.callScripted("/chat/1", isKept, nil, cut, rest)
 			if a.status != http.StatusOK || a.err != nil || a.body != c.body || b.ran(a) != 2 {
 				b.t.Errorf("resumable, cut after %q: status %d, %q, %v after %d runs, want all events", cut.text, a.status, a.body, a.err, b.ran(a))
 			}
--- a/internal/request/forwarder/resumed_test.go
+++ b/internal/request/forwarder/resumed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -71,7 +72,7 @@
 			for _, isKept := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/%s/kept %t", network, tt.name, isKept), func(t *testing.T) {
 					runOn(t, func(b *bench) {
-						a := b.callScripted("/chat/1", isKept, brokenStream, tt.second, restOfStream)
+						a := b.callScripted("/chat/1", isKept, nil, brokenStream, tt.second, restOfStream)
 						want := event(1) + event(2) + event(3)
 						if tt.isNotRun {
 							want += event(4) + event(5)
@@ -85,3 +86,45 @@
 		}
 	}
 }
+
+// TestStreamThatStartsAgain checks that events which the caller has do not come twice when an upstream ignores
+// Last-Event-Id and starts from the beginning, whether the forwarder or the caller resumes the stream.
+func TestStreamThatStartsAgain(t *testing.T) {
+	again := scripted{text: signedHead("200 OK", streamType, inChunks, versionOne) + chunks(event(1), event(2), event(3), event(4)) + "0\r\n\r\n"}
+	tests := []struct {
+		name      string
+		last      string // that the caller has
+		responses []scripted
+		want      string
+		isWhole   bool
+	}{
+		{"the forwarder resumes", "", []scripted{brokenStream, again}, event(1) + event(2) + event(3), false},
+		{"the caller resumes", "3", []scripted{again, restOfStream}, event(4) + event(5), true},
+		{"the caller resumes and no upstream does", "3", []scripted{again}, "", false},
+		{"both resume", "1", []scripted{brokenAfter(2, 3), again}, event(2) + event(3), false},
+		{"the ID is no number", "x3", []scripted{restOfStream}, event(4) + event(5), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				a := b.callScripted("/chat/1", false, func(r *http.Request) {
+					if tt.last != "" {
+						r.Header.Set(standin.HeaderLastEventID, tt.last)
+					}
+				}, tt.responses...)
+				isWhole, body := a.err == nil && a.status == http.StatusOK, a.body
+				if a.status == http.StatusBadGateway {
+					body = "" // the refusal
+				}
+				if body != tt.want || isWhole != tt.isWhole {
+					t.Errorf("status %d, %q after %d runs, %v, want %q, whole: %t", a.status, a.body, b.ran(a), a.err, tt.want, tt.isWhole)
+				}
+			})
+		})
+	}
+}
+
+// brokenAfter returns a stream of two events that breaks off.
+func brokenAfter(first, second int) scripted {
+	return scripted{text: signedHead("200 OK", streamType, inChunks, versionOne) + chunks(event(first), event(second)), end: closes}
+}
--- a/internal/request/forwarder/script_test.go
+++ b/internal/request/forwarder/script_test.go
@@ -97,7 +97,7 @@
 }
 
 // callScripted calls three upstreams with the same responses, whose connections may be kept from a call before.
-func (b *bench) callScripted(path string, isKept bool, responses ...scripted) answer {
+func (b *bench) callScripted(path string, isKept bool, change func(r *http.Request), responses ...scripted) answer {
 	for n := range 3 {
 		listener := b.raw(2+n, (&scriptedUpstream{b: b, responses: responses}).serve)
 		defer listener.close()
@@ -106,7 +106,7 @@
 		}
 	}
 	defer b.requester.CloseIdle()
-	return b.call(path, nil)
+	return b.call(path, change)
 }
 
 // keepConnection opens a connection to one upstream by a sound call.
