--- a/internal/request/forwarder/foreign_test.go
+++ b/internal/request/forwarder/foreign_test.go
@@ -127,7 +127,9 @@
 	run(t, func(b *bench) {
 		b.upstream(2, events(1, 3, true))
 		var upstreams []*rawUpstream
+		added := make(chan struct{})
 		time.AfterFunc(30*time.Millisecond, func() {
+			defer close(added)
 			for n := range 2 {
 				u := &crossedUpstream{b: b, text: crossedRefusal("503 Service Unavailable", standin.HeaderCall+": another")}
 				upstreams = append(upstreams, b.raw(3+n, u.serve))
@@ -137,6 +139,7 @@
 		if have := strings.Join(ids(a.body), " "); a.err == nil || have != "1 2 3" || b.ran(a) != 2 {
 			b.t.Errorf("events %s after %d runs, %v, want 1 to 3 after two and a stream that ends as incomplete", have, b.ran(a), a.err)
 		}
+		<-added
 		b.requester.CloseIdle()
 		for _, u := range upstreams {
 			u.close()
