A call without an ID gets a connection of its own

What callers saw: a repeatable call without an ID got the answer to another call without one, where an upstream wrote an earlier answer once more on a kept connection: the empty IDs match.

Evidence, on the code before: TestSecondCopyWithoutID, "status 200, "/look/0", want the answer to /look/1", for each second call.

Change: a call without an ID is sent on a new connection, as calls that may run once are: what is read there first belongs to it. Sound upstreams of the platform refuse such calls, so the new connections cost little.

After: the test and the package pass.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -158,7 +158,7 @@
 		Host:               x.call.Host,
 		Header:             header,
 		Body:               x.call.Body,
-		NeedsNewConnection: !x.route.IsRepeatable(),
+		NeedsNewConnection: !x.route.IsRepeatable() || x.call.ID == "",
 	}
 }
 
--- a/internal/request/forwarder/copies_test.go
+++ b/internal/request/forwarder/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -22,8 +23,8 @@
 	copyBeforeReply                 // right before the answer to the next request on the connection
 )
 
-// copyingUpstream answers each request with the ID of its call, and sends a second copy of each
-// answer on the same connection.
+// copyingUpstream answers each request with the ID of its call, or with the path of one without ID, and
+// sends a second copy of each answer on the same connection.
 type copyingUpstream struct {
 	when copyTime
 }
@@ -40,7 +41,8 @@
 		// A body that cannot be read shows at the next request.
 		_, _ = io.Copy(io.Discard, r.Body)
 		id := r.Header.Get(standin.HeaderCall)
-		reply := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 2\r\nContent-Length: %d\r\n\r\n%s", standin.HeaderCall, id, standin.HeaderSigned, len(id), id)
+		body := cmp.Or(id, r.URL.Path)
+		reply := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 2\r\nContent-Length: %d\r\n\r\n%s", standin.HeaderCall, id, standin.HeaderSigned, len(body), body)
 		text := reply
 		switch u.when {
 		case copyAtOnce:
@@ -85,6 +87,23 @@
 	}
 }
 
+// TestSecondCopyWithoutID checks that a second copy of an answer does not reach another caller whose call has
+// no ID to tell it by.
+func TestSecondCopyWithoutID(t *testing.T) {
+	run(t, func(b *bench) {
+		u := b.raw(2, (&copyingUpstream{when: copyBeforeReply}).serve)
+		for n := range 6 {
+			path := fmt.Sprintf("/look/%d", n)
+			a := b.call(path, func(r *http.Request) { r.Header.Del(standin.HeaderCall) })
+			if a.status != http.StatusOK || a.body != path {
+				t.Errorf("status %d, %q, want the answer to %s", a.status, a.body, path)
+			}
+		}
+		b.requester.CloseIdle()
+		u.close()
+	})
+}
+
 // TestLongRequestBody checks that a request body without end is refused although the
 // configuration sets no limit.
 func TestLongRequestBody(t *testing.T) {
