A head that was torn off before the answer's own head lends it no status

What callers saw: an upstream stopped in the middle of one head and wrote another answer on the same connection; where the cut was inside the status line or a value, both parsed as one head. Callers got the upstream's error as a 200, framed as whole, or were told "not run" for a call that had run, because of the torn head of a refusal.

Cause: net/http takes any text as a reason phrase or value, "Content-Type: HTTP/1.1 500 Internal Server Error" too; ID and signature are those of the second head.

Change: a head with a status line inside its reason phrase or a value counts as malformed: the outcome is unknown, and the connection is closed. "Via: HTTP/1.1 name" has no status and passes.

--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -131,6 +133,9 @@
 		return nil, err
 	}
 	response, err := conn.ReadResponse(conn.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // Response.Close closes or reuses the connection.
+	if err == nil && isTorn(response) {
+		err = errTorn
+	}
 	if err != nil {
 		a.isFailed = true
 		a.Close()
@@ -145,6 +150,25 @@
 	return a, nil
 }
 
+// errTorn means that the head of a response goes on with the head of another one.
+var errTorn = errors.New("another status line inside the head of a response")
+
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}( |$)`)
+
+// isTorn reports whether a head has a status line inside: the peer has stopped in the middle of one head
+// and written another, and the first status and fields do not belong to the response.
+func isTorn(response *http.Response) bool {
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // connectionError returns the error for a connection that failed during or after sending.
 func connectionError(err error) *Error {
 	var timeout net.Error
--- a/internal/request/forwarder/cut_test.go
+++ b/internal/request/forwarder/cut_test.go
@@ -122,3 +122,31 @@
 		})
 	}
 }
+
+// TestTornHeadBeforeAnswer has upstreams write the beginning of another head right before an answer. A caller
+// never gets an error of an upstream under the status of the other head.
+func TestTornHeadBeforeAnswer(t *testing.T) {
+	const body = "error"
+	failure := signedHead("500 Internal Server Error", "Content-Length: 5") + body
+	heads := map[string]string{
+		"own head":            signedHead("200 OK", textType, "Content-Length: 5"),
+		"head of another":     strings.ReplaceAll(signedHead("200 OK", textType), "CALL", "another"),
+		"head of an event":    signedHead("200 OK", streamType),
+		"refusal, own":        signedHead("503 Service Unavailable", notRunLine),
+		"head that names all": "HTTP/1.1 200 OK\r\nServer: s\r\n\r\n",
+	}
+	for name, head := range heads {
+		for _, path := range []string{"/look/1", "/book/1", "/tale/1"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				for n := 1; n < len(head)-len("\r\n\r\n"); n++ {
+					run(t, func(b *bench) {
+						a := b.callScripted(path, false, nil, scripted{text: head[:n] + failure, end: closes})
+						if a.status != http.StatusBadGateway && (a.status != http.StatusInternalServerError || a.body != body) {
+							t.Errorf("after %q: status %d, %q, %v, want 502, or the 500", head[:n], a.status, a.body, a.err)
+						}
+					})
+				}
+			})
+		}
+	}
+}
