Operators' limits of request heads and idle connections apply to callers

What callers saw: header-bytes, header-timeout-ms and idle-timeout-ms of the configuration had no effect. Heads up to 64 KiB and 10 s and idle times up to a minute were allowed whatever it said, and a head that was too slow was answered 400 (net/http, where it ended within a line) or not at all.

Cause: platform/ parsed the limits into CallLimits and nothing read them; the servers had constants. net/http's own fields cannot change while a server runs.

Change: callerlimiter wraps the callers' listener. A connection is idle, in a head or served; its read deadline comes from the phase, its start and the limits in force, and is set anew on all open connections when these change. The deadlines of net/http and the forwarder stay; the earlier one counts, and none of the limiter's while a request is served. Heads are counted as received: a read ends with the head, so that a pipelined one is counted from its first byte (after a chunked body from the first byte that net/http has not buffered).

Weighed: - After a change the larger limit stays in force for 1 s, for all connections. A caller may not know the smaller one yet; for the whole older limit would be up to a minute, beyond the 2 s in which a change has to apply. - A connection whose idle time is over is read once more for 10 ms. The poller reports a timeout even where bytes have arrived meanwhile, so that a busy process would close on a request. - 408 for slow heads: it promises that nothing has run, which holds, and lets the caller retry. - A connection without a first request counts as idle; until now it was closed after 10 s. - No Keep-Alive field: callers know the limit, and a time that was stated would be broken on shrinking.

--- a/configuration.go
+++ b/configuration.go
@@ -104,12 +104,38 @@
 	return float64(e.Chunk) / (reading + writing.Seconds())
 }
 
-// CallLimits bounds the size of callers' requests and the time to send them.
+// Bounds of what operators may allow callers.
+const (
+	MaxHeaderBytes         = 64 << 10
+	MaxBodyBytes     int64 = 8 << 20
+	MaxHeaderTimeout       = 10 * time.Second
+	MaxIdleTimeout         = time.Minute
+)
+
+// CallLimits bounds the size of callers' requests and the time to send them. A field of 0 or below
+// sets no limit.
 type CallLimits struct {
-	HeaderBytes   int
+	HeaderBytes   int // from the request line to the empty line after the header
 	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderTimeout time.Duration // from the first byte of a request to the end of its header
+	IdleTimeout   time.Duration // between an answer and the first byte of the next request
+}
+
+// Bounded returns the limits in which each one that is not set, or above its bound, is the bound.
+func (l CallLimits) Bounded() CallLimits {
+	return CallLimits{
+		HeaderBytes:   bounded(l.HeaderBytes, MaxHeaderBytes),
+		BodyBytes:     bounded(l.BodyBytes, MaxBodyBytes),
+		HeaderTimeout: bounded(l.HeaderTimeout, MaxHeaderTimeout),
+		IdleTimeout:   bounded(l.IdleTimeout, MaxIdleTimeout),
+	}
+}
+
+func bounded[T int | int64 | time.Duration](value, limit T) T {
+	if value <= 0 {
+		return limit
+	}
+	return min(value, limit)
 }
 
 // Release is the version of a model's weights that engines should load.
--- /dev/null
+++ b/internal/connection/callerlimiter/conn.go
@@ -0,0 +1,236 @@
+package callerlimiter
+
+import (
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
+)
+
+// errRefused means that the head of a request was answered with a refusal.
+var errRefused = errors.New("head of the request is refused")
+
+// finalWait is how long a connection whose time is over is read once more, because bytes may have
+// arrived that the process had no time to read.
+const finalWait = 10 * time.Millisecond
+
+// conn is a caller's connection. net/http reads from it one goroutine at a time. A read returns no
+// bytes beyond the end of a head, so that the next head is counted from its first byte.
+type conn struct {
+	net.Conn
+	limiter *Limiter
+
+	mu        sync.Mutex
+	phase     Phase
+	since     time.Time // start of the phase
+	final     time.Time // end of the last read of the phase, once its time is over
+	head      headScanner
+	bodyBytes int64     // left to read of the request that is served; below 0 if unknown
+	pending   []byte    // received and not returned yet
+	requested time.Time // read deadline that net/http has set
+	applied   time.Time // read deadline of the inner connection
+
+	isRefused atomic.Bool // the head is answered; nothing more is read or written
+}
+
+// Read reads from the connection. An idle connection ends with a timeout; a head that is too slow or
+// too long is answered before the read fails.
+func (c *conn) Read(p []byte) (int, error) {
+	for !c.isRefused.Load() {
+		n, err := c.receive(p)
+		if n > 0 {
+			return c.received(p[:n])
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, err
+		}
+		isOver, expired := c.checkDeadline()
+		if !isOver {
+			continue
+		}
+		switch expired {
+		case PhaseIdle:
+			c.limiter.c.Meter.Increment(meter.CounterCallersClosed + "Idle")
+		case PhaseHead:
+			c.refuse(headTimeout)
+		}
+		return 0, err
+	}
+	return 0, errRefused
+}
+
+// Write writes to the connection. It fails after a refusal, since net/http answers a head that has
+// ended within a line, too.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.isRefused.Load() {
+		return 0, errRefused
+	}
+	return c.Conn.Write(p)
+}
+
+// receive reads pending bytes or else from the inner connection.
+func (c *conn) receive(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.phase == PhaseServing && c.bodyBytes > 0 {
+		p = p[:min(int64(len(p)), c.bodyBytes)]
+	}
+	n := copy(p, c.pending)
+	c.pending = c.pending[n:]
+	c.mu.Unlock()
+	if n > 0 || len(p) == 0 {
+		return n, nil
+	}
+	return c.Conn.Read(p)
+}
+
+// received accounts for bytes and returns how many of them the reader gets.
+func (c *conn) received(p []byte) (int, error) {
+	n, isTooLong := c.account(p)
+	if !isTooLong {
+		return n, nil
+	}
+	c.refuse(headTooLong)
+	return 0, errRefused
+}
+
+func (c *conn) account(p []byte) (n int, isTooLong bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == PhaseServing && c.bodyBytes != 0 {
+		c.bodyBytes = max(c.bodyBytes-int64(len(p)), min(c.bodyBytes, 0))
+		return len(p), false
+	}
+	n, isEnd := c.head.scan(p)
+	c.pending = append(append([]byte(nil), p[n:]...), c.pending...)
+	if c.phase == PhaseIdle && c.head.bytes > 0 {
+		c.enter(PhaseHead)
+	}
+	if c.phase == PhaseHead && c.head.bytes > c.limiter.limits.Load().At(time.Now()).HeaderBytes {
+		return 0, true
+	}
+	if isEnd {
+		c.head, c.bodyBytes = headScanner{}, 0
+		c.enter(PhaseServing)
+	}
+	return n, false
+}
+
+// enter starts a phase. The lock must be held.
+func (c *conn) enter(p Phase) {
+	c.phase, c.since, c.final = p, time.Now(), time.Time{}
+	c.apply()
+}
+
+// begin notes that a request with a body of a length is served; below 0 if the length is unknown.
+func (c *conn) begin(bodyBytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != PhaseServing {
+		c.head = headScanner{}
+		c.enter(PhaseServing)
+	}
+	c.bodyBytes = bodyBytes
+}
+
+// answered notes that an answer is written. The next request may have begun to arrive.
+func (c *conn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyBytes = 0
+	if c.head.bytes > 0 || len(c.pending) > 0 {
+		c.enter(PhaseHead)
+		return
+	}
+	c.enter(PhaseIdle)
+}
+
+// renew applies limits that have changed.
+func (c *conn) renew() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.final = time.Time{}
+	c.apply()
+}
+
+// checkDeadline is called when a read has timed out. It reports whether the read is over, and which
+// phase's time is; PhaseServing means that the deadline of net/http is.
+func (c *conn) checkDeadline() (isOver bool, expired Phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if isPast(c.requested, now) {
+		return true, PhaseServing
+	}
+	if !isPast(c.limitDeadline(), now) {
+		c.apply()
+		return false, c.phase
+	}
+	if c.final.IsZero() {
+		c.final = now.Add(finalWait)
+		c.apply()
+		return false, c.phase
+	}
+	return true, c.phase
+}
+
+func isPast(deadline, now time.Time) bool {
+	return !deadline.IsZero() && !now.Before(deadline)
+}
+
+// limitDeadline returns when the time of the phase is over; zero for never. The lock must be held.
+func (c *conn) limitDeadline() time.Time {
+	if !c.final.IsZero() {
+		return c.final
+	}
+	return c.limiter.limits.Load().Deadline(c.phase, c.since)
+}
+
+// apply sets the earlier of the deadlines of net/http and of the phase. The lock must be held.
+func (c *conn) apply() {
+	deadline := c.limitDeadline()
+	if deadline.IsZero() || (!c.requested.IsZero() && c.requested.Before(deadline)) {
+		deadline = c.requested
+	}
+	if c.isRefused.Load() || deadline.Equal(c.applied) {
+		return
+	}
+	c.applied = deadline
+	// It fails only on a closed connection, where reads fail too.
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// SetReadDeadline sets the deadline of reads for the reader. The limits apply besides.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requested = t
+	c.apply()
+	return nil
+}
+
+// SetDeadline sets the deadline of reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// CloseWrite closes the writing side if the inner connection can.
+func (c *conn) CloseWrite() error {
+	if inner, canClose := c.Conn.(interface{ CloseWrite() error }); canClose {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.limiter.remove(c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/connection/callerlimiter/limits_test.go
@@ -0,0 +1,83 @@
+package callerlimiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/callerlimiter"
+)
+
+// TestDeadline checks when phases end that began before and after a change, which is at second 100 and
+// has a grace period of a second.
+func TestDeadline(t *testing.T) {
+	second := func(s float64) time.Time {
+		return time.Unix(0, 0).Add(time.Duration(s * float64(time.Second)))
+	}
+	short := foxtailwharf.CallLimits{IdleTimeout: 5 * time.Second, HeaderTimeout: 2 * time.Second}
+	long := foxtailwharf.CallLimits{IdleTimeout: 50 * time.Second, HeaderTimeout: 20 * time.Second}
+	tests := []struct {
+		name          string
+		before, after foxtailwharf.CallLimits
+		phase         callerlimiter.Phase
+		since         float64
+		want          time.Time
+	}{
+		{"idle, began long before, shrinking", long, short, callerlimiter.PhaseIdle, 60, second(101)},
+		{"idle, its end is in the grace period", long, short, callerlimiter.PhaseIdle, 50.5, second(100.5)},
+		{"idle, began just before, shrinking", long, short, callerlimiter.PhaseIdle, 99, second(104)},
+		{"idle, began after, shrinking", long, short, callerlimiter.PhaseIdle, 100.5, second(105.5)},
+		{"idle, began before, growing", short, long, callerlimiter.PhaseIdle, 96, second(146)},
+		{"idle, began after, growing", short, long, callerlimiter.PhaseIdle, 103, second(153)},
+		{"head, began before, shrinking", long, short, callerlimiter.PhaseHead, 90, second(101)},
+		{"head, began just before, shrinking", long, short, callerlimiter.PhaseHead, 99.5, second(101.5)},
+		{"head, began before, growing", short, long, callerlimiter.PhaseHead, 99, second(119)},
+		{"served, shrinking", long, short, callerlimiter.PhaseServing, 50, time.Time{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := callerlimiter.Limits{Current: tt.before}.Changed(tt.after, second(100))
+			if deadline := l.Deadline(tt.phase, second(tt.since)); !deadline.Equal(tt.want) {
+				t.Errorf("deadline %s, want %s", deadline.UTC(), tt.want.UTC())
+			}
+		})
+	}
+}
+
+// TestChangesInGracePeriod guards against a second change that ends the grace period of the first one.
+func TestChangesInGracePeriod(t *testing.T) {
+	start := time.Unix(100, 0)
+	l := callerlimiter.Limits{Current: foxtailwharf.CallLimits{HeaderBytes: 3000}}
+	l = l.Changed(foxtailwharf.CallLimits{HeaderBytes: 2000}, start)
+	l = l.Changed(foxtailwharf.CallLimits{HeaderBytes: 1000}, start.Add(500*time.Millisecond))
+	for after, want := range map[time.Duration]int{500 * time.Millisecond: 3000, 1400 * time.Millisecond: 3000, 1500 * time.Millisecond: 1000} {
+		if bytes := l.At(start.Add(after)).HeaderBytes; bytes != want {
+			t.Errorf("limit %d bytes %s after the first change, want %d", bytes, after, want)
+		}
+	}
+}
+
+// TestBounded checks the limits that apply where the operators set none or too large ones.
+func TestBounded(t *testing.T) {
+	largest := foxtailwharf.CallLimits{
+		HeaderBytes: foxtailwharf.MaxHeaderBytes, BodyBytes: foxtailwharf.MaxBodyBytes,
+		HeaderTimeout: foxtailwharf.MaxHeaderTimeout, IdleTimeout: foxtailwharf.MaxIdleTimeout,
+	}
+	within := foxtailwharf.CallLimits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4}
+	tests := []struct {
+		name         string
+		limits, want foxtailwharf.CallLimits
+	}{
+		{"none", foxtailwharf.CallLimits{}, largest},
+		{"negative", foxtailwharf.CallLimits{HeaderBytes: -1, BodyBytes: -1, HeaderTimeout: -1, IdleTimeout: -1}, largest},
+		{"too large", foxtailwharf.CallLimits{HeaderBytes: 1 << 30, BodyBytes: 1 << 40, HeaderTimeout: time.Hour, IdleTimeout: time.Hour}, largest},
+		{"within", within, within},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if limits := tt.limits.Bounded(); limits != tt.want {
+				t.Errorf("limits %+v, want %+v", limits, tt.want)
+			}
+		})
+	}
+}
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/callerlimiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/delayestimator"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
@@ -42,12 +43,6 @@
 	// dueMargin is subtracted from the same deadline to get the time at which calls that have
 	// not started on old weights are taken back.
 	dueMargin = 200 * time.Millisecond
-	// idleTimeout limits how long a caller's connection may be idle, and headerTimeout how long
-	// its request header may take. Both are above what the operators allow callers.
-	idleTimeout   = time.Minute
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes limits the size of a caller's request header.
-	maxHeaderBytes = 64 << 10
 	// idleCheckInterval is the time between two checks for idle connections to close.
 	idleCheckInterval = time.Second
 	// drainDelay is how long a stopping entry keeps accepting connections. The load balancer in
@@ -84,6 +79,7 @@
 	tasks     []task
 	cancel    context.CancelFunc
 	limits    *limitKeeper
+	callers   *callerlimiter.Limiter
 	isLeaving atomic.Bool
 	notifyNow chan struct{} // capacity 1; makes the next notices to agents due
 
@@ -137,6 +133,7 @@
 	d.assigner = assigner.New(balancer.New(balancer.Config{
 		FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer"), OnAsk: d.limits.wakeUp,
 	}))
+	d.callers = callerlimiter.New(callerlimiter.Config{Meter: d.meter, Log: c.Log})
 	d.requester = requester.New(requester.Config{Network: c.Network})
 	d.forwarder = forwarder.New(forwarder.Config{
 		Dialect:             c.Dialect,
@@ -201,15 +198,15 @@
 	messenger.Register(d.messages, methodMeet, d.handleMeet)
 	messenger.Register(d.messages, methodPermit, d.limits.handlePermit)
 	listeners := []endpoint{
-		{s.PeerAddress(s.Address), d.peersMux()},
-		{s.Ready, http.HandlerFunc(d.serveReady)},
-		{s.Callers, d.forwarder},
+		{address: s.PeerAddress(s.Address), handler: d.peersMux()},
+		{address: s.Ready, handler: http.HandlerFunc(d.serveReady)},
+		{address: s.Callers, handler: d.forwarder, limiter: d.callers},
 	}
 	if s.Metrics.IsValid() {
-		listeners = append(listeners, endpoint{s.Metrics, d.metricsMux()})
+		listeners = append(listeners, endpoint{address: s.Metrics, handler: d.metricsMux()})
 	}
 	for _, l := range listeners {
-		if err := d.serve(ctx, l.address, l.handler); err != nil {
+		if err := d.serve(ctx, l); err != nil {
 			return errors.Wrap(err, "Distributor.Start")
 		}
 	}
@@ -231,18 +228,26 @@
 	return nil
 }
 
-// endpoint is a listen address and its handler.
+// endpoint is a listen address and its handler, with a limiter of its own if the configuration
+// limits its clients.
 type endpoint struct {
 	address netip.AddrPort
 	handler http.Handler
+	limiter *callerlimiter.Limiter
 }
 
-func (d *Distributor) serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
-	listener, err := d.c.Network.Listen(ctx, address)
+func (d *Distributor) serve(ctx context.Context, e endpoint) error {
+	listener, err := d.c.Network.Listen(ctx, e.address)
 	if err != nil {
 		return err
 	}
-	h := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(d.c.Log)}
+	h := &http.Server{
+		Handler: e.handler, ErrorLog: zap.NewStdLog(d.c.Log), ReadHeaderTimeout: foxtailwharf.MaxHeaderTimeout,
+		IdleTimeout: foxtailwharf.MaxIdleTimeout, MaxHeaderBytes: foxtailwharf.MaxHeaderBytes,
+	}
+	if e.limiter != nil {
+		listener = e.limiter.Limit(h, listener)
+	}
 	d.servers = append(d.servers, server.Start(listener, h, d.c.Log))
 	return nil
 }
@@ -291,6 +296,9 @@
 		return
 	}
 	d.updateFromView(v)
+	if v.Configuration != nil {
+		d.callers.Set(v.Configuration.Limits)
+	}
 	d.forwarder.SetView(v)
 	d.assigner.Update(func(b *balancer.Balancer) {
 		b.Set(v.Upstreams)
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -22,7 +22,8 @@
 // Measure is the name of a histogram of durations in microseconds.
 type Measure string
 
-// Names of the histograms and counters. The reason of a refusal is appended to CounterRefused.
+// Names of the histograms and counters. The reason of a refusal is appended to CounterRefused,
+// and the limit for which a caller's connection was closed to CounterCallersClosed.
 const (
 	MeasureQueue             Measure = "QueueMicros"
 	MeasureFirstToken        Measure = "FirstTokenMicros"
@@ -34,6 +35,7 @@
 	CounterMismatchedAnswers         = "CrossedAnswers"
 	CounterBrokenAnswers             = "BrokenAnswers"
 	CounterAnswered                  = "Answered"
+	CounterCallersClosed             = "CallersClosed."
 )
 
 // separator separates the parts of a metric's name in the registry.
