A configured limit of request bodies is bounded by what an entry can hold

What callers saw: with body-bytes above 8 MiB an entry buffered bodies up to that limit, whatever its memory; the bound of 8 MiB only applied where the configuration set no limit.

Cause: readBody took the configured limit as it was.

Before: TestLongRequestBody/limit_above_the_bound: status 200 after 1 runs, want 413 and no run (64 MiB body, limit 1 TiB).

Change: readBody uses the bounded limits, as the callers' listener does for heads and idle time. The older test runs with no limit as before, and with one above the bound besides.

After: both pass.

--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -84,16 +84,10 @@
 	return nil
 }
 
-// defaultBodyBytes bounds a request body if the configuration does not.
-const defaultBodyBytes = 8 << 20
-
 // readBody buffers the whole body, so that the call can be sent again to a second upstream. It has to
 // arrive within the deadline of the call.
 func (x *exchange) readBody(w http.ResponseWriter, r *http.Request, limits foxtailwharf.CallLimits) *foxtailwharf.Refusal {
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit := limits.Bounded().BodyBytes
 	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(x.deadline); err != nil {
 		x.f.c.Log.Debug("call: connection of the caller has no read deadline", zap.Error(err))
--- a/internal/request/forwarder/copies_test.go
+++ b/internal/request/forwarder/copies_test.go
@@ -105,17 +105,22 @@
 }
 
 // TestLongRequestBody checks that a request body without end is refused although the
-// configuration sets no limit.
+// configuration sets no limit, or one beyond what an entry can hold.
 func TestLongRequestBody(t *testing.T) {
-	run(t, func(b *bench) {
-		b.upstream(2, text(http.StatusOK, "ok"))
-		a := b.call("/look/1", func(r *http.Request) {
-			r.Body = io.NopCloser(io.LimitReader(endlessReader{}, 64<<20))
+	for name, limit := range map[string]int64{"no limit": 0, "limit above the bound": 1 << 40} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.view.Configuration.Limits.BodyBytes = limit
+				b.upstream(2, text(http.StatusOK, "ok"))
+				a := b.call("/look/1", func(r *http.Request) {
+					r.Body = io.NopCloser(io.LimitReader(endlessReader{}, 64<<20))
+				})
+				if a.status != http.StatusRequestEntityTooLarge || b.ran(a) != 0 {
+					t.Errorf("status %d after %d runs, error %v; want 413 and no run", a.status, b.ran(a), a.err)
+				}
+			})
 		})
-		if a.status != http.StatusRequestEntityTooLarge || b.ran(a) != 0 {
-			t.Errorf("status %d after %d runs, error %v; want 413 and no run", a.status, b.ran(a), a.err)
-		}
-	})
+	}
 }
 
 // endlessReader reads the same byte without end.
