A refusal before the whole body reaches a caller that is still sending

What callers saw: those that send all and then read lost refusals of calls whose bodies had not been read (401, 404, 503, and 413 of bodies far too long). The sending failed with a broken pipe or a reset: most bodies of 300 KB and 1 MB sent over 0.6 s or 2 s, and nearly all of 4 MB and more at any pace. Bodies of less than 256 KiB held the refusal back until they had arrived, without a limit of time, and a caller that was refused in place of "100 Continue" did not see the end of its connection.

Cause: before the answer net/http reads at most 256 KiB of the body, then answers, waits for half a second and closes the connection; what arrives after that resets it.

Change: such a refusal is sent whole and at once (full duplex, with Content-Length), and then the rest of the body is read and discarded (package discarder): up to twice the largest body, until the call's deadline or the caller's own timeout, and for two seconds at most once the entry is leaving. A body that ends leaves the connection in order for the next call; in all other cases the connection is closed, write side first, so that no rest of a body is read as a call. A caller that expects "100 Continue" gets the final status in its place and has one second to begin sending all the same.

--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -28,6 +28,7 @@
 	if s == nil || s.Configuration == nil {
 		return notRunRetryAfter(foxtailwharf.ReasonNotReady, "the entry has no configuration yet", notReadyRetryAfter)
 	}
+	x.limits = s.Configuration.Limits
 	var err error
 	if x.call, err = f.c.Dialect.ReadCall(r); err != nil {
 		return foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, err.Error())
@@ -47,7 +48,7 @@
 	name := matcher.Pick(x.route, f.randomFloat())
 	x.service = s.Configuration.Services[name]
 	x.service.Name = name
-	return x.readBody(w, r, s.Configuration.Limits)
+	return x.readBody(w, r)
 }
 
 func notRunRetryAfter(reason foxtailwharf.Reason, detail string, retryAfter time.Duration) *foxtailwharf.Refusal {
@@ -84,15 +85,23 @@
 	return nil
 }
 
+// discardedBodies times the largest body is how much of the body of a refused call is discarded.
+const discardedBodies = 2
+
+// bodyLimit returns the size in bytes of the largest body that is accepted.
+func (x *exchange) bodyLimit() int64 {
+	return x.limits.Bounded().BodyBytes
+}
+
 // readBody buffers the whole body, so that the call can be sent again to a second upstream. It has to
 // arrive within the deadline of the call.
-func (x *exchange) readBody(w http.ResponseWriter, r *http.Request, limits foxtailwharf.CallLimits) *foxtailwharf.Refusal {
-	limit := limits.Bounded().BodyBytes
+func (x *exchange) readBody(w http.ResponseWriter, r *http.Request) *foxtailwharf.Refusal {
 	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(x.deadline); err != nil {
 		x.f.c.Log.Debug("call: connection of the caller has no read deadline", zap.Error(err))
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	x.isBodyBegun = true
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, x.bodyLimit()))
 	if err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return foxtailwharf.NotRun(foxtailwharf.ReasonDeadline, "the request body did not arrive in time")
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
@@ -42,10 +43,13 @@
 	route    *foxtailwharf.CallRoute
 	service  foxtailwharf.CallService
 	version  int64 // of the configuration that was in force at admission
+	limits   foxtailwharf.CallLimits
 	account  string
 	rank     queuer.Rank
 	digest   string
-	cancel   context.CancelCauseFunc
+	// isBodyBegun is set once the body is being read.
+	isBodyBegun bool
+	cancel      context.CancelCauseFunc
 
 	progress    progress
 	searches    sync.WaitGroup    // goroutines of backups
@@ -72,10 +76,15 @@
 	if limit == 0 {
 		limit = defaultTimeout
 	}
+	x.deadline = x.started.Add(x.callerTimeout(limit))
+}
+
+// callerTimeout returns the shorter of a timeout and the caller's own.
+func (x *exchange) callerTimeout(limit time.Duration) time.Duration {
 	if x.call.CallerTimeout > 0 {
-		limit = min(limit, x.call.CallerTimeout)
+		return min(limit, x.call.CallerTimeout)
 	}
-	x.deadline = x.started.Add(limit)
+	return limit
 }
 
 // outcome is the result of one attempt for the call.
@@ -330,6 +339,16 @@
 	refuser.WriteDirect(x.w, refusal)
 }
 
+// refuseUnread answers a request whose body has not been read whole. The caller gets the refusal at once
+// and may send the rest, up to the size that the configuration allows twice over, until its deadline.
+func (x *exchange) refuseUnread(r *http.Request, refusal *foxtailwharf.Refusal) {
+	bounds := discarder.Bounds{Bytes: discardedBodies * x.bodyLimit(), Until: x.deadline, HasBegun: x.isBodyBegun}
+	if x.deadline.IsZero() {
+		bounds.Until = x.started.Add(x.callerTimeout(defaultTimeout))
+	}
+	x.f.discarder.Answer(x.w, r, bounds, func() { x.refuse(refusal) })
+}
+
 // log adds the fields that all log lines of the call have.
 func (x *exchange) log(message string, fields ...zap.Field) {
 	fields = append(fields, zap.String("Call", x.call.ID), zap.Int64("Configuration", x.version),
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/requester"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
@@ -51,6 +52,7 @@
 type Forwarder struct {
 	c         Config
 	collector *collector.Collector
+	discarder *discarder.Discarder
 	state     atomic.Pointer[state]
 	leaving   atomic.Bool
 
@@ -86,6 +88,7 @@
 	return &Forwarder{
 		c:          c,
 		collector:  collector.New(collector.Config{MaxAnswer: maxAnswerBytes, MaxTotal: maxAnswersBytes, Unshared: unsharedAnswerBytes}),
+		discarder:  discarder.New(discarder.Config{Log: c.Log}),
 		retries:    retrylimiter.New(c.RetryBudget, time.Now()),
 		quarantine: quarantiner.New(quarantiner.Config{CrashesToBan: crashesToBan}),
 		isolator:   isolator.New(isolator.Config{}),
@@ -137,9 +140,11 @@
 	return f.returner.Delay(time.Now(), service, left)
 }
 
-// CloseConnections makes the forwarder close each caller's connection after the next answer.
+// CloseConnections makes the forwarder close each caller's connection after the next answer, and spend
+// little time on the bodies of refused calls.
 func (f *Forwarder) CloseConnections() {
 	f.leaving.Store(true)
+	f.discarder.Leave()
 }
 
 // isFresh reports whether the configuration is proven recent enough to check API keys against.
@@ -166,7 +171,7 @@
 	x := &exchange{f: f, w: w, started: started, excluded: make(map[string]bool)}
 	x.boundWrite()
 	if refusal := f.admit(x, w, r); refusal != nil {
-		x.refuse(refusal)
+		x.refuseUnread(r, refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
--- a/internal/request/refuser/refuser.go
+++ b/internal/request/refuser/refuser.go
@@ -56,11 +56,10 @@
 	}
 }
 
+// write writes a refusal with its length, so that it is whole as soon as it is flushed.
 func write(w http.ResponseWriter, status int, refusal *foxtailwharf.Refusal) {
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(status)
-	// Encoding fails only if the caller has disconnected.
-	_ = json.NewEncoder(w).Encode(Problem{
+	// A Problem can always be encoded.
+	body, _ := json.Marshal(Problem{
 		Type:   typePrefix + string(refusal.Reason),
 		Title:  http.StatusText(status),
 		Status: status,
@@ -68,4 +67,10 @@
 		Reason: string(refusal.Reason),
 		NotRun: refusal.IsNotRun,
 	})
+	body = append(body, '\n')
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	// Writing fails only if the caller has disconnected.
+	_, _ = w.Write(body)
 }
