A body that is too long by its own header is refused at once

What callers saw: a 413 came only after the whole limit had been read, or a 503 at the deadline; those that expect "100 Continue" were told to send a body that cannot be taken.

Cause: the size was checked while the body was read, never against its declared length.

Before: TestDeclaredLengthIsRefusedAtOnce "status 503 after 6.003751097s, error <nil>; want 413 at once", "status 100, error the caller was told to send its body; want 413 at once". After: 413 before any part of the body, in all four cases.

--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -61,6 +61,10 @@
 	return notRunRetryAfter(foxtailwharf.ReasonStoreUnavailable, "the entry cannot verify that its configuration is current", staleRetryAfter)
 }
 
+func bodyTooLarge() *foxtailwharf.Refusal {
+	return foxtailwharf.NotRun(foxtailwharf.ReasonBodyTooLarge, "the request body is too large")
+}
+
 // authenticate sets the client account and the rank of the call. While the configuration may be
 // outdated it accepts no key, because a key may have been revoked meanwhile; a public route then
 // serves the call without an account.
@@ -96,6 +100,9 @@
 // readBody buffers the whole body, so that the call can be sent again to a second upstream. It has to
 // arrive within the deadline of the call.
 func (x *exchange) readBody(w http.ResponseWriter, r *http.Request) *foxtailwharf.Refusal {
+	if r.ContentLength > x.bodyLimit() {
+		return bodyTooLarge()
+	}
 	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(x.deadline); err != nil {
 		x.f.c.Log.Debug("call: connection of the caller has no read deadline", zap.Error(err))
@@ -108,7 +115,7 @@
 		}
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
-			return foxtailwharf.NotRun(foxtailwharf.ReasonBodyTooLarge, err.Error())
+			return bodyTooLarge()
 		}
 		return foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, "the request body is incomplete")
 	}
--- a/internal/request/forwarder/unread_test.go
+++ b/internal/request/forwarder/unread_test.go
@@ -213,6 +213,20 @@
 	}
 }
 
+// TestDeclaredLengthIsRefusedAtOnce guards against a body that is too long by its own header and is waited
+// for, or asked for.
+func TestDeclaredLengthIsRefusedAtOnce(t *testing.T) {
+	tt := unreadCase{"too large", "/look/1", "k1", nil, http.StatusRequestEntityTooLarge}
+	for _, size := range []int{unreadLimit + 1, 100 * unreadLimit} {
+		for _, expects := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes, expects 100 %t", size, expects), func(t *testing.T) {
+				t.Parallel()
+				newUnreadEntry(t, tt).checkNotSent(tt, size, expects)
+			})
+		}
+	}
+}
+
 // checkNotSent checks that a caller which sends nothing of its body gets the answer at once, and that its
 // connection is closed if it has asked whether to send the body.
 func (e *tcpEntry) checkNotSent(tt unreadCase, size int, expects bool) {
