A call does not stay with an upstream that is silent for longer than a sound one

Cause: a call of a frozen engine for which there was no second upstream stayed there until its caller left; when the engine went on, it ran the call before it noticed that the connection was closed. Change: where a call may be repeated, a silent upstream is given up 1.3 s after the search has begun, 2.5 s or more after it fell silent. Sound upstreams are silent for less, and the caller still has time to repeat the call. Calls that may run once stay until their deadline, as before. The watchdog of an attempt is in a file of its own.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -20,28 +20,17 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 )
 
-// Times of silence after which another upstream is sought, where the call may be repeated, and the
-// interval of the checks that every attempt makes.
 const (
-	// firstEventTimeout applies until the first event of a stream, or until the first part of a
-	// buffered answer. Where firstEventTimeoutGoals times the route's goal is longer, that applies.
-	firstEventTimeout      = 1200 * time.Millisecond
-	firstEventTimeoutGoals = 2.5
-	// eventTimeout applies between two events that carry data, and between two parts of a buffered
-	// answer. Where eventTimeoutPauses times the route's longest pause is longer, that applies.
-	eventTimeout       = 1200 * time.Millisecond
-	eventTimeoutPauses = 2
 	// maxDrainBytes and drainTimeout bound the rest of an answer that is read only to keep the
 	// connection. Beyond them the connection is closed.
 	maxDrainBytes = 64 << 10
 	drainTimeout  = 100 * time.Millisecond
-	// upstreamCheckInterval is the longest time between two runs of checkUpstream.
-	upstreamCheckInterval = 100 * time.Millisecond
 )
 
 // Causes with which the context of an attempt is canceled.
 var (
 	errStalled         = errors.New("upstream sent no data in time, and another one answers")
+	errSilent          = errors.New("upstream sent no data for longer than a sound one")
 	errUpstreamEnded   = errors.New("upstream has ended")
 	errWeightsReplaced = errors.New("upstream still holds weights that have been replaced")
 )
@@ -59,6 +48,7 @@
 	stallTimer *time.Timer
 	checkTimer *time.Timer
 	isDone     atomic.Bool
+	isSuspect  atomic.Bool // has been silent for so long that another upstream is sought
 	hasEvent   atomic.Bool // an event was received
 }
 
@@ -70,7 +60,9 @@
 // run makes the attempt, or goes on with it if it has begun to be answered. It returns the outcome for the
 // call and the result for the upstream.
 func (a *attempt) run(ctx context.Context) (outcome, balancer.Result) {
-	a.stallTimer = time.AfterFunc(a.firstEventLimit(), func() { a.x.startBackup(ctx, a) })
+	// The timer is started only once the field that handleSilence uses is set.
+	a.stallTimer = time.AfterFunc(time.Hour, func() { a.handleSilence(ctx) })
+	a.stallTimer.Reset(a.firstEventLimit())
 	if a.answer == nil {
 		if o, result, isAnswered := a.send(ctx); !isAnswered {
 			return o, result
@@ -162,45 +154,6 @@
 	}
 }
 
-// firstEventLimit returns how long the upstream may be silent before its answer begins until another one is
-// sought.
-func (a *attempt) firstEventLimit() time.Duration {
-	return max(firstEventTimeout, time.Duration(float64(a.x.route.Goal)*firstEventTimeoutGoals))
-}
-
-// checkUpstream cancels the attempt if the upstream has ended, or if the weights that it holds may no
-// longer begin an answer. If the upstream does not answer its agent, another one is sought.
-func (a *attempt) checkUpstream() {
-	if a.isDone.Load() {
-		return
-	}
-	if a.x.f.c.Assigner.HasEnded(a.upstream) {
-		a.cancel(errUpstreamEnded)
-		return
-	}
-	if a.x.f.c.Assigner.IsSuspect(a.upstream) {
-		a.x.startBackup(a.parent, a)
-	}
-	next := upstreamCheckInterval
-	if startDeadline := a.startDeadline(); !startDeadline.IsZero() {
-		left := time.Until(startDeadline)
-		if left <= 0 {
-			a.cancel(errWeightsReplaced)
-			return
-		}
-		next = min(next, left)
-	}
-	a.checkTimer.Reset(next)
-}
-
-// startDeadline returns when the call must have begun; zero if it has, or if there is no limit.
-func (a *attempt) startDeadline() time.Time {
-	if a.hasEvent.Load() {
-		return time.Time{}
-	}
-	return a.x.f.c.Assigner.StartDeadline(a.upstream)
-}
-
 // handleSendError handles an attempt that got no answer.
 func (a *attempt) handleSendError(ctx context.Context, err error) (outcome, balancer.Result) {
 	var failure *requester.Error
@@ -222,7 +175,7 @@
 		a.suspectCrash()
 		a.x.f.recordCrash(context.WithoutCancel(ctx), a.upstream, a.x.digest)
 	}
-	if errors.Is(context.Cause(ctx), errStalled) {
+	if errors.Is(context.Cause(ctx), errStalled) || errors.Is(context.Cause(ctx), errSilent) {
 		return unknown, balancer.Stalled
 	}
 	if errors.Is(context.Cause(ctx), errWeightsReplaced) {
@@ -395,11 +348,6 @@
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
-// resetStallTimer restarts the stall timer after an event or a part of an answer.
-func (a *attempt) resetStallTimer() {
-	a.stallTimer.Reset(max(eventTimeout, eventTimeoutPauses*a.x.route.Gap))
-}
-
 func (a *attempt) log(message string, fields ...zap.Field) {
 	a.x.log(message, append(fields, zap.String("Upstream", a.upstream.ID))...)
 }
--- /dev/null
+++ b/internal/request/forwarder/watchdog.go
@@ -0,0 +1,83 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+)
+
+// Times of silence after which another upstream is sought, where the call may be repeated, and the
+// interval of the checks that every attempt makes.
+const (
+	// firstEventTimeout applies until the first event of a stream, or until the first part of a
+	// buffered answer. Where firstEventTimeoutGoals times the route's goal is longer, that applies.
+	firstEventTimeout      = 1200 * time.Millisecond
+	firstEventTimeoutGoals = 2.5
+	// eventTimeout applies between two events that carry data, and between two parts of a buffered
+	// answer. Where eventTimeoutPauses times the route's longest pause is longer, that applies.
+	eventTimeout       = 1200 * time.Millisecond
+	eventTimeoutPauses = 2
+	// patience is how much longer an upstream may be silent until it is given up even without another one,
+	// where the call may be repeated: no sound upstream is silent for so long, and the caller can still
+	// repeat its call.
+	patience = 1300 * time.Millisecond
+	// upstreamCheckInterval is the longest time between two runs of checkUpstream.
+	upstreamCheckInterval = 100 * time.Millisecond
+)
+
+// handleSilence seeks another upstream. If it is called again without data in between, it gives up the
+// attempt of a call that may be repeated.
+func (a *attempt) handleSilence(ctx context.Context) {
+	switch {
+	case a.isDone.Load():
+	case !a.isSuspect.Swap(true):
+		a.x.startBackup(ctx, a)
+		a.stallTimer.Reset(patience)
+	case a.x.route.IsRepeatable():
+		a.cancel(errSilent)
+	}
+}
+
+// checkUpstream cancels the attempt if the upstream has ended, or if the weights that it holds may no
+// longer begin an answer. If the upstream does not answer its agent, another one is sought.
+func (a *attempt) checkUpstream() {
+	if a.isDone.Load() {
+		return
+	}
+	if a.x.f.c.Assigner.HasEnded(a.upstream) {
+		a.cancel(errUpstreamEnded)
+		return
+	}
+	if a.x.f.c.Assigner.IsSuspect(a.upstream) {
+		a.x.startBackup(a.parent, a)
+	}
+	next := upstreamCheckInterval
+	if startDeadline := a.startDeadline(); !startDeadline.IsZero() {
+		left := time.Until(startDeadline)
+		if left <= 0 {
+			a.cancel(errWeightsReplaced)
+			return
+		}
+		next = min(next, left)
+	}
+	a.checkTimer.Reset(next)
+}
+
+// startDeadline returns when the call must have begun; zero if it has, or if there is no limit.
+func (a *attempt) startDeadline() time.Time {
+	if a.hasEvent.Load() {
+		return time.Time{}
+	}
+	return a.x.f.c.Assigner.StartDeadline(a.upstream)
+}
+
+// firstEventLimit returns how long the upstream may be silent before its answer begins until another one is
+// sought.
+func (a *attempt) firstEventLimit() time.Duration {
+	return max(firstEventTimeout, time.Duration(float64(a.x.route.Goal)*firstEventTimeoutGoals))
+}
+
+// resetStallTimer restarts the stall timer after an event or a part of an answer.
+func (a *attempt) resetStallTimer() {
+	a.isSuspect.Store(false)
+	a.stallTimer.Reset(max(eventTimeout, eventTimeoutPauses*a.x.route.Gap))
+}
