An empty line after a body does not begin a head

What callers would have seen: a caller that ends a body with an extra empty line, in the same segment, was answered 408 after the time limit of a head, while its connection was idle and within its limit.

Cause: bytes that were left after an answer counted as the start of a head, whatever they were; bytes that are read in the idle phase did not if they were empty lines.

Before: TestEmptyLineAfterBody: status 408 with body "the request header did not arrive in time", want 200

Change: only bytes that are no empty line begin a head there. After: it passes; the package five times, and the limit tests of the simulator ten times with -race, pass.

--- a/internal/connection/callerlimiter/callerlimiter_test.go
+++ b/internal/connection/callerlimiter/callerlimiter_test.go
@@ -202,6 +202,20 @@
 	})
 }
 
+// TestEmptyLineAfterBody guards against an idle connection that is answered 408, because its last request
+// had an empty line after the body, as some callers send it.
+func TestEmptyLineAfterBody(t *testing.T) {
+	runFake(t, func(b *bench) {
+		b.set(limits)
+		c := b.connect()
+		c.send(post("/1", 3) + "\r\n")
+		c.check(http.StatusOK, "/1 3")
+		time.Sleep(limits.IdleTimeout * 4 / 5)
+		c.send(get("/2", 500))
+		c.check(http.StatusOK, "/2 0")
+	})
+}
+
 // TestServedRequestsHaveNoLimit guards against limits that apply while a request is served.
 func TestServedRequestsHaveNoLimit(t *testing.T) {
 	runFake(t, func(b *bench) {
--- a/internal/connection/callerlimiter/conn.go
+++ b/internal/connection/callerlimiter/conn.go
@@ -1,6 +1,7 @@
 package callerlimiter
 
 import (
+	"bytes"
 	"net"
 	"os"
 	"sync"
@@ -142,7 +143,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bodyBytes = 0
-	if c.head.bytes > 0 || len(c.pending) > 0 {
+	if c.head.bytes > 0 || len(bytes.TrimLeft(c.pending, "\r\n")) > 0 {
 		c.enter(PhaseHead)
 		return
 	}
