The product's own interface: a refusal reaches a caller that is still sending

What callers saw, cause and change as at entries that send directly to upstreams: 401 for keys that are not known, 404 without a route and 413 were lost by callers that were still sending, or came with the end of the connection. A body that is too long by its own header is refused at once.

Before: TestRefusalBeforeWholeBody (receiver) failed for all 48 callers, 29 of them "Caller.Send: body: write: broken pipe" or a reset, 19 with a connection that was closed. After: both requests of all 48 on kept connections.

--- a/internal/process/receiver/callers.go
+++ b/internal/process/receiver/callers.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/registrar"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/admitter"
@@ -24,6 +25,8 @@
 	headerTicket = "Foxtailwharf-Ticket"
 
 	maxKeyLength = 256
+	// discardedBodies times MaxBodyBytes is how much of the body of a refused request is discarded.
+	discardedBodies = 2
 	// bytesPerToken is used to estimate the number of tokens of a prompt.
 	bytesPerToken = 4
 	// affinityMessages is the number of leading messages that make up the prefix for affinity.
@@ -39,8 +42,8 @@
 	mux.HandleFunc("GET /healthz", r.serveHealth)
 	mux.HandleFunc("GET /readyz", r.serveReady)
 	mux.HandleFunc("/{Service}/{Path...}", r.servePlain)
-	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
-		r.refuse(w, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "no route for this path"))
+	mux.HandleFunc("/", func(w http.ResponseWriter, q *http.Request) {
+		r.refuseUnread(w, q, false, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "no route for this path"))
 	})
 	return mux
 }
@@ -50,6 +53,16 @@
 	refuser.Write(w, refusal)
 }
 
+// refuseUnread answers a request whose body has not been read whole. The caller gets the refusal at once,
+// and may send the rest. hasBegun is set if a part of the body was read.
+func (r *Receiver) refuseUnread(w http.ResponseWriter, q *http.Request, hasBegun bool, refusal *foxtailwharf.Refusal) {
+	r.discarder.Answer(w, q, discarder.Bounds{
+		Bytes:    discardedBodies * r.c.Settings.MaxBodyBytes,
+		Until:    time.Now().Add(bodyReadTimeout),
+		HasBegun: hasBegun,
+	}, func() { r.refuse(w, refusal) })
+}
+
 // authenticate looks up the bearer key and returns the caller's identity and limits.
 func (r *Receiver) authenticate(q *http.Request) (registrar.Grant, *foxtailwharf.Refusal) {
 	key, hasKey := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
@@ -63,35 +76,41 @@
 	return grant, nil
 }
 
-// readBody reads the request body, limited to MaxBodyBytes and bodyReadTimeout.
-func (r *Receiver) readBody(w http.ResponseWriter, q *http.Request) ([]byte, *foxtailwharf.Refusal) {
+// readBody reads the request body, limited to MaxBodyBytes and bodyReadTimeout. On failure it writes the
+// refusal and reports false.
+func (r *Receiver) readBody(w http.ResponseWriter, q *http.Request) (body []byte, isRead bool) {
+	tooLarge := foxtailwharf.NotRun(foxtailwharf.ReasonBodyTooLarge, "the request body is too large")
+	if q.ContentLength > r.c.Settings.MaxBodyBytes {
+		r.refuseUnread(w, q, false, tooLarge)
+		return nil, false
+	}
 	controller := http.NewResponseController(w)
 	// Only test connections do not support deadlines; for those the error is ignored.
 	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, r.c.Settings.MaxBodyBytes))
 	_ = controller.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, foxtailwharf.NotRun(foxtailwharf.ReasonBodyTooLarge, "the request body is too large")
+	var limit *http.MaxBytesError
+	if errors.As(err, &limit) {
+		r.refuseUnread(w, q, true, tooLarge)
+		return nil, false
 	}
 	if err != nil {
-		return nil, foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, "the request body is incomplete")
+		r.refuseUnread(w, q, true, foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, "the request body is incomplete"))
+		return nil, false
 	}
-	return body, nil
+	return body, true
 }
 
 // readCall authenticates the caller and reads the body. On failure it writes the refusal and
 // reports false.
 func (r *Receiver) readCall(w http.ResponseWriter, q *http.Request) (grant registrar.Grant, body []byte, isValid bool) {
 	grant, refusal := r.authenticate(q)
-	if refusal == nil {
-		body, refusal = r.readBody(w, q)
-	}
 	if refusal != nil {
-		r.refuse(w, refusal)
+		r.refuseUnread(w, q, false, refusal)
 		return grant, nil, false
 	}
-	return grant, body, true
+	body, isValid = r.readBody(w, q)
+	return grant, body, isValid
 }
 
 // modelCall holds the fields that the entry reads from the body of a call to a model.
@@ -146,24 +165,23 @@
 func (r *Receiver) servePlain(w http.ResponseWriter, q *http.Request) {
 	grant, refusal := r.authenticate(q)
 	if refusal != nil {
-		r.refuse(w, refusal)
+		r.refuseUnread(w, q, false, refusal)
 		return
 	}
 	name := q.PathValue("Service")
 	path := strings.TrimPrefix(q.URL.EscapedPath(), "/"+name)
 	service, isKnown := r.registrar.Service(name)
 	if !isKnown || service.Upstream != foxtailwharf.UpstreamPlain {
-		r.refuse(w, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "no plain service is named "+name))
+		r.refuseUnread(w, q, false, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "no plain service is named "+name))
 		return
 	}
 	route := routeOfPath(service, path)
 	if route == nil {
-		r.refuse(w, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "the service has no route for "+path))
+		r.refuseUnread(w, q, false, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "the service has no route for "+path))
 		return
 	}
-	body, refusal := r.readBody(w, q)
-	if refusal != nil {
-		r.refuse(w, refusal)
+	body, isRead := r.readBody(w, q)
+	if !isRead {
 		return
 	}
 	request := r.request(q, grant, service, route, body)
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -18,6 +18,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/gossiper"
@@ -66,6 +67,7 @@
 	platform    *storer.Platform
 	client      *messenger.Client
 	messages    *messenger.Server
+	discarder   *discarder.Discarder
 	meter       *meter.Meter
 	servers     []*server.Server
 	cancel      context.CancelFunc
@@ -86,6 +88,7 @@
 		meter:       meter.New(),
 		client:      messenger.NewClient(c.Network),
 		messages:    messenger.NewServer(),
+		discarder:   discarder.New(discarder.Config{Log: c.Log}),
 		platform:    storer.New(storer.Config{Network: c.Platform, Address: s.Common.Platform, Timeout: s.Common.PlatformTimeout}),
 		ticketer:    ticketer.New(s.TicketSecret),
 		admitter:    admitter.New(admitter.Config{UsageTTL: usageTTL}),
@@ -265,6 +268,7 @@
 	r.gossiper.Update(func(self *foxtailwharf.Instance) { self.IsLeaving = true })
 	r.gossiper.Announce(ctx)
 	sleeper.Sleep(ctx, r.c.Settings.Notice)
+	r.discarder.Leave()
 	err := r.servers[0].Shutdown(ctx)
 	r.Close()
 	return errors.Wrap(err, "Receiver.Stop")
