--- a/internal/request/forwarder/unread_test.go
+++ b/internal/request/forwarder/unread_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -272,3 +273,24 @@
 		t.Errorf("%d MiB in use at the peak, want at most %d", memory.peak>>20, bound>>20)
 	}
 }
+
+// TestShutdownIgnoresRefusedBodies guards against a graceful stop that waits for a refused caller's body.
+func TestShutdownIgnoresRefusedBodies(t *testing.T) {
+	tt := unreadCases()[0]
+	b := newBench(t)
+	t.Cleanup(b.close)
+	b.update()
+	e := b.listen()
+	caller := e.caller()
+	defer func() { _ = caller.Close() }()
+	_, err := caller.Send(standin.Upload{Path: tt.path, Bytes: 100 << 10, WaitsForContinue: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.forwarder.CloseConnections()
+	ctx, cancel := context.WithTimeout(t.Context(), atOnce)
+	defer cancel()
+	if err := e.server.Shutdown(ctx); err != nil {
+		t.Errorf("the server has not shut down: %v", err)
+	}
+}
