A refusal of a body that is not there at the deadline reaches a caller that is still sending

What callers saw: those whose body was still arriving at the deadline of the call lost their 503 (broken pipe within half a second).

Cause: a read that has failed at the deadline fails for good where the body comes in chunks, so that nothing more of it could be read and discarded.

Change: after a failed read the connection is taken over from net/http, its write side is closed, and what the caller sends is discarded until it closes its own, two seconds at most beyond the deadline and as many bytes as elsewhere.

After: all three pass; the bounds hold in TestFailedBodyIsBounded (five cases).

--- a/internal/connection/discarder/discarder.go
+++ b/internal/connection/discarder/discarder.go
@@ -44,6 +44,9 @@
 	Until time.Time
 	// HasBegun is set if a part of the body was read, which has told the caller to send it.
 	HasBegun bool
+	// HasFailed is set if reading the body has failed, so that its end can no longer be found. The
+	// connection is closed after the answer.
+	HasFailed bool
 }
 
 // rest is the part of a request's body that has not been read.
@@ -70,7 +73,7 @@
 		write()
 		return
 	}
-	if r.ContentLength > bounds.Bytes {
+	if bounds.HasFailed || r.ContentLength > bounds.Bytes {
 		w.Header().Set("Connection", "close")
 	}
 	write()
@@ -79,7 +82,11 @@
 		s.close()
 		return
 	}
-	if err := d.discard(s, bounds); err != nil {
+	read := d.discard
+	if bounds.HasFailed {
+		read = d.linger
+	}
+	if err := read(s, bounds); err != nil {
 		d.log.Debug("discarder: body not read to its end", zap.Error(err))
 		s.close()
 	}
@@ -103,6 +110,31 @@
 	return s.controller.SetReadDeadline(time.Time{})
 }
 
+// linger closes the write side of the connection and discards what the caller sends until it closes its
+// own. It fails, and leaves the connection to net/http, if the connection cannot be had.
+func (d *Discarder) linger(s *rest, bounds Bounds) error {
+	conn, _, err := s.controller.Hijack()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := d.add(s); err != nil {
+		d.log.Debug("discarder: connection has no read deadline", zap.Error(err))
+		return nil
+	}
+	defer d.remove(s)
+	if half, canHalfClose := conn.(interface{ CloseWrite() error }); canHalfClose {
+		if err := half.CloseWrite(); err != nil {
+			d.log.Debug("discarder: connection of the caller has failed", zap.Error(err))
+			return nil
+		}
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(conn, bounds.Bytes)); err != nil {
+		d.log.Debug("discarder: caller has not closed its connection in time", zap.Error(err))
+	}
+	return nil
+}
+
 // expectsContinue reports whether the caller may be waiting for "100 Continue".
 func (s *rest) expectsContinue() bool {
 	return s.r.Header.Get("Expect") != ""
--- a/internal/connection/discarder/discarder_test.go
+++ b/internal/connection/discarder/discarder_test.go
@@ -33,6 +33,7 @@
 	network   *standin.Host
 	ended     chan time.Duration // of each request, from its start
 	requests  atomic.Int64
+	hasFailed bool // the body, before the answer
 }
 
 var address = netip.MustParseAddrPort("10.0.0.1:80")
@@ -52,7 +53,7 @@
 func (b *bench) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.requests.Add(1)
 	started := time.Now()
-	b.discarder.Answer(w, r, discarder.Bounds{Bytes: limit, Until: started.Add(timeout)}, func() {
+	b.discarder.Answer(w, r, discarder.Bounds{Bytes: limit, Until: started.Add(timeout), HasFailed: b.hasFailed}, func() {
 		w.Header().Set("Content-Length", "3")
 		w.WriteHeader(http.StatusNotFound)
 		_, _ = io.WriteString(w, refusal)
@@ -101,25 +102,63 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				b := newBench(t)
-				defer b.server.Close()
+			run(t, func(b *bench) {
 				if tt.leaveAfter == 0 {
 					b.discarder.Leave()
 				}
 				time.AfterFunc(tt.leaveAfter, b.discarder.Leave)
-				took := b.send(tt.header, tt.data, tt.pause)
-				if took > tt.want || took < tt.want-time.Second {
-					t.Errorf("the request took %s, want %s", took, tt.want)
-				}
-				if n := b.requests.Load(); n != 1 {
-					t.Errorf("%d requests were read, want 1", n)
-				}
+				b.check(tt.header, tt.data, tt.pause, tt.want)
+			})
+		})
+	}
+}
+
+// TestFailedBodyIsBounded checks the same for bodies whose reading has failed before the answer.
+func TestFailedBodyIsBounded(t *testing.T) {
+	tests := []struct {
+		name, data string
+		pause      time.Duration
+		leaveAfter time.Duration
+		want       time.Duration
+	}{
+		{"a byte now and then", "x", time.Second, timeout, timeout},
+		{"nothing more", "x", time.Hour, timeout, timeout},
+		{"bytes without end", strings.Repeat("x", 64<<10), time.Millisecond, timeout, 100 * time.Millisecond},
+		{"another request", "GET / HTTP/1.1\r\nHost: h\r\n\r\n", time.Second, timeout, timeout},
+		{"shutdown", "x", time.Second, 5 * time.Second, 7 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.hasFailed = true
+				time.AfterFunc(tt.leaveAfter, b.discarder.Leave)
+				b.check("Content-Length: 100000", tt.data, tt.pause, tt.want)
 			})
 		})
 	}
 }
 
+// run runs a case with fake time.
+func run(t *testing.T, check func(b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.server.Close()
+		check(b)
+	})
+}
+
+// check checks how long a request takes, and that no other one is read from what its caller sends.
+func (b *bench) check(header, data string, pause, want time.Duration) {
+	took := b.send(header, data, pause)
+	if took > want || took < want-time.Second {
+		b.t.Errorf("the request took %s, want %s", took, want)
+	}
+	if n := b.requests.Load(); n != 1 {
+		b.t.Errorf("%d requests were read, want 1", n)
+	}
+}
+
 // send sends a request whose body has no end. It reads to the end of the connection, and returns how long
 // the request took.
 func (b *bench) send(header, data string, pause time.Duration) time.Duration {
--- a/internal/process/receiver/callers.go
+++ b/internal/process/receiver/callers.go
@@ -43,7 +43,7 @@
 	mux.HandleFunc("GET /readyz", r.serveReady)
 	mux.HandleFunc("/{Service}/{Path...}", r.servePlain)
 	mux.HandleFunc("/", func(w http.ResponseWriter, q *http.Request) {
-		r.refuseUnread(w, q, false, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "no route for this path"))
+		r.refuseUnread(w, q, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "no route for this path"))
 	})
 	return mux
 }
@@ -54,13 +54,14 @@
 }
 
 // refuseUnread answers a request whose body has not been read whole. The caller gets the refusal at once,
-// and may send the rest. hasBegun is set if a part of the body was read.
-func (r *Receiver) refuseUnread(w http.ResponseWriter, q *http.Request, hasBegun bool, refusal *foxtailwharf.Refusal) {
-	r.discarder.Answer(w, q, discarder.Bounds{
-		Bytes:    discardedBodies * r.c.Settings.MaxBodyBytes,
-		Until:    time.Now().Add(bodyReadTimeout),
-		HasBegun: hasBegun,
-	}, func() { r.refuse(w, refusal) })
+// and may send the rest.
+func (r *Receiver) refuseUnread(w http.ResponseWriter, q *http.Request, refusal *foxtailwharf.Refusal) {
+	r.discarder.Answer(w, q, r.discardBounds(time.Now()), func() { r.refuse(w, refusal) })
+}
+
+// discardBounds returns the bounds for the rest of a body whose reading has begun at a time.
+func (r *Receiver) discardBounds(begun time.Time) discarder.Bounds {
+	return discarder.Bounds{Bytes: discardedBodies * r.c.Settings.MaxBodyBytes, Until: begun.Add(bodyReadTimeout)}
 }
 
 // authenticate looks up the bearer key and returns the caller's identity and limits.
@@ -81,21 +82,25 @@
 func (r *Receiver) readBody(w http.ResponseWriter, q *http.Request) (body []byte, isRead bool) {
 	tooLarge := foxtailwharf.NotRun(foxtailwharf.ReasonBodyTooLarge, "the request body is too large")
 	if q.ContentLength > r.c.Settings.MaxBodyBytes {
-		r.refuseUnread(w, q, false, tooLarge)
+		r.refuseUnread(w, q, tooLarge)
 		return nil, false
 	}
 	controller := http.NewResponseController(w)
+	bounds := r.discardBounds(time.Now())
+	bounds.HasBegun = true
 	// Only test connections do not support deadlines; for those the error is ignored.
-	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	_ = controller.SetReadDeadline(bounds.Until)
 	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, r.c.Settings.MaxBodyBytes))
 	_ = controller.SetReadDeadline(time.Time{})
 	var limit *http.MaxBytesError
 	if errors.As(err, &limit) {
-		r.refuseUnread(w, q, true, tooLarge)
+		r.discarder.Answer(w, q, bounds, func() { r.refuse(w, tooLarge) })
 		return nil, false
 	}
 	if err != nil {
-		r.refuseUnread(w, q, true, foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, "the request body is incomplete"))
+		bounds.HasFailed = true
+		incomplete := foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, "the request body is incomplete")
+		r.discarder.Answer(w, q, bounds, func() { r.refuse(w, incomplete) })
 		return nil, false
 	}
 	return body, true
@@ -106,7 +111,7 @@
 func (r *Receiver) readCall(w http.ResponseWriter, q *http.Request) (grant registrar.Grant, body []byte, isValid bool) {
 	grant, refusal := r.authenticate(q)
 	if refusal != nil {
-		r.refuseUnread(w, q, false, refusal)
+		r.refuseUnread(w, q, refusal)
 		return grant, nil, false
 	}
 	body, isValid = r.readBody(w, q)
@@ -165,19 +170,19 @@
 func (r *Receiver) servePlain(w http.ResponseWriter, q *http.Request) {
 	grant, refusal := r.authenticate(q)
 	if refusal != nil {
-		r.refuseUnread(w, q, false, refusal)
+		r.refuseUnread(w, q, refusal)
 		return
 	}
 	name := q.PathValue("Service")
 	path := strings.TrimPrefix(q.URL.EscapedPath(), "/"+name)
 	service, isKnown := r.registrar.Service(name)
 	if !isKnown || service.Upstream != foxtailwharf.UpstreamPlain {
-		r.refuseUnread(w, q, false, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "no plain service is named "+name))
+		r.refuseUnread(w, q, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "no plain service is named "+name))
 		return
 	}
 	route := routeOfPath(service, path)
 	if route == nil {
-		r.refuseUnread(w, q, false, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "the service has no route for "+path))
+		r.refuseUnread(w, q, foxtailwharf.NotRun(foxtailwharf.ReasonNoRoute, "the service has no route for "+path))
 		return
 	}
 	body, isRead := r.readBody(w, q)
--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -110,13 +110,14 @@
 	x.isBodyBegun = true
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, x.bodyLimit()))
 	if err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return foxtailwharf.NotRun(foxtailwharf.ReasonDeadline, "the request body did not arrive in time")
-		}
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
 			return bodyTooLarge()
 		}
+		x.hasBodyFailed = true
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return foxtailwharf.NotRun(foxtailwharf.ReasonDeadline, "the request body did not arrive in time")
+		}
 		return foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, "the request body is incomplete")
 	}
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -47,9 +47,9 @@
 	account  string
 	rank     queuer.Rank
 	digest   string
-	// isBodyBegun is set once the body is being read.
-	isBodyBegun bool
-	cancel      context.CancelCauseFunc
+	// isBodyBegun is set once the body is being read, and hasBodyFailed if that fails.
+	isBodyBegun, hasBodyFailed bool
+	cancel                     context.CancelCauseFunc
 
 	progress    progress
 	searches    sync.WaitGroup    // goroutines of backups
@@ -342,7 +342,7 @@
 // refuseUnread answers a request whose body has not been read whole. The caller gets the refusal at once
 // and may send the rest, up to the size that the configuration allows twice over, until its deadline.
 func (x *exchange) refuseUnread(r *http.Request, refusal *foxtailwharf.Refusal) {
-	bounds := discarder.Bounds{Bytes: discardedBodies * x.bodyLimit(), Until: x.deadline, HasBegun: x.isBodyBegun}
+	bounds := discarder.Bounds{Bytes: discardedBodies * x.bodyLimit(), Until: x.deadline, HasBegun: x.isBodyBegun, HasFailed: x.hasBodyFailed}
 	if x.deadline.IsZero() {
 		bounds.Until = x.started.Add(x.callerTimeout(defaultTimeout))
 	}
--- a/internal/request/forwarder/unread_test.go
+++ b/internal/request/forwarder/unread_test.go
@@ -248,6 +248,38 @@
 	}
 }
 
+// TestRefusalOfUnfinishedBody guards against a refusal at the deadline that a caller which is
+// still sending does not get.
+func TestRefusalOfUnfinishedBody(t *testing.T) {
+	tests := []struct {
+		name      string
+		isChunked bool
+		size      int
+	}{
+		{"length", false, 1 << 20},
+		{"chunks", true, 1 << 20},
+		{"chunks, 4 MB", true, 4 << 20},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			e := newUnreadEntry(t, unreadCase{})
+			caller := e.caller()
+			defer func() { _ = caller.Close() }()
+			answer, err := caller.Send(standin.Upload{
+				Path: "/look/1", Header: http.Header{standin.HeaderKey: {"k1"}, standin.HeaderTimeout: {"300"}}, Bytes: tt.size,
+				Duration: 1500 * time.Millisecond, IsChunked: tt.isChunked,
+			})
+			if err != nil || answer.Status != http.StatusServiceUnavailable || !answer.IsClosed {
+				t.Errorf("status %d, closed %t, error %v; want 503 and the end of the connection", answer.Status, answer.IsClosed, err)
+			}
+			if rest, err := caller.ReadEnd(); err != nil || rest != "" {
+				t.Errorf("%q, error %v after the answer, want the end of the connection", rest, err)
+			}
+		})
+	}
+}
+
 // TestRefusedCallersMemory checks the memory for many callers that send on after their refusal.
 func TestRefusedCallersMemory(t *testing.T) {
 	const (
