A retry that is returned leaves the budget where it was taken

Cause: ReturnRetry took the newest retry in the window, whichever call had made it. A search may hold its retry for seconds: returned, it made a younger retry look as old as its own, and that one left the window too early. Evidence: TestReturnedRetryFreesItsOwnStep failed: 3 retries within 2s, want 2 in a window of 10s. Change: a retry goes back to the step of the window in which it was taken, or nowhere once that has passed. TestReturnedRetryIsAllowedAgain passes the time as well and checks what it did. Measured: both pass, and the tests of the forwarder under the race detector.

--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -65,9 +65,12 @@
 	defer close(b.done)
 	x := b.x
 	x.log("upstream is silent, another one is sought", zap.String("Upstream", b.first.upstream.ID), zap.String("LastEvent", b.from.lastEvent))
+	var takenAt time.Time // when the retry was taken from the budget
 	hasRetry := false
 	for {
-		hasRetry = hasRetry || x.f.allowRetry(x.service.Name)
+		if !hasRetry {
+			takenAt, hasRetry = x.f.allowRetry(x.service.Name)
+		}
 		if hasRetry {
 			if u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(b.from, b.excluded, x.deadline)); refusal == nil {
 				a := newAttempt(x, u, b.from)
@@ -87,7 +90,7 @@
 		}
 	}
 	if hasRetry {
-		x.f.returnRetry(x.service.Name)
+		x.f.returnRetry(x.service.Name, takenAt)
 	}
 }
 
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -180,12 +180,12 @@
 		return false
 	case x.progress.hasUnknown() && !x.mayRetryAfterRun():
 		return false
-	case !x.f.allowRetry(x.service.Name):
+	}
+	if _, isAllowed := x.f.allowRetry(x.service.Name); !isAllowed {
 		x.log("the retry budget allows no other attempt")
 		return false
-	default:
-		return true
 	}
+	return true
 }
 
 // release gives up the answers that are held in memory.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -188,18 +188,19 @@
 	f.retries.RecordCall(time.Now(), service)
 }
 
-// allowRetry takes a retry from the budget, and reports whether the budget allows it.
-func (f *Forwarder) allowRetry(service string) bool {
+// allowRetry takes a retry from the budget. It returns when, and whether the budget allows it.
+func (f *Forwarder) allowRetry(service string) (takenAt time.Time, isAllowed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.retries.AllowRetry(time.Now(), service)
+	takenAt = time.Now()
+	return takenAt, f.retries.AllowRetry(takenAt, service)
 }
 
-// returnRetry gives back a retry that was allowed and not made.
-func (f *Forwarder) returnRetry(service string) {
+// returnRetry gives back a retry that was allowed at takenAt and not made.
+func (f *Forwarder) returnRetry(service string, takenAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.retries.ReturnRetry(time.Now(), service)
+	f.retries.ReturnRetry(time.Now(), takenAt, service)
 }
 
 // randomFloat returns a random number in [0, 1).
--- a/internal/request/retrylimiter/retrylimiter.go
+++ b/internal/request/retrylimiter/retrylimiter.go
@@ -59,20 +59,23 @@
 	return true
 }
 
-// ReturnRetry gives back a retry that was allowed and not made.
-func (l *Limiter) ReturnRetry(now time.Time, service string) {
+// ReturnRetry gives back a retry that was allowed at takenAt and not made. It no longer counts if it has left
+// the window.
+func (l *Limiter) ReturnRetry(now, takenAt time.Time, service string) {
 	w := l.window(now, service)
-	for i := range steps {
-		if w.retries[i] > 0 {
-			w.retries[i]--
-			return
-		}
+	if age := w.step - l.step(takenAt); age < steps {
+		w.retries[age]--
 	}
 }
 
+// step returns the number of the step of the window to which a time belongs.
+func (l *Limiter) step(at time.Time) int64 {
+	return int64(at.Sub(l.started) / (l.c.Window / steps))
+}
+
 // window returns the counts of a service after sliding its window to now.
 func (l *Limiter) window(now time.Time, service string) *window {
-	step := int64(now.Sub(l.started) / (l.c.Window / steps))
+	step := l.step(now)
 	w, exists := l.services[service]
 	if !exists {
 		w = &window{step: step}
--- a/internal/request/retrylimiter/retrylimiter_test.go
+++ b/internal/request/retrylimiter/retrylimiter_test.go
@@ -68,10 +68,35 @@
 		if !r.AllowRetry(now, "s") || r.AllowRetry(now, "s") {
 			t.Fatal("want one retry in the window")
 		}
+		takenAt := now
 		now = now.Add(pause)
-		r.ReturnRetry(now, "s")
+		r.ReturnRetry(now, takenAt, "s")
 	}
 	if !r.AllowRetry(now, "s") {
 		t.Error("want the returned retry to be allowed again")
 	}
 }
+
+// TestReturnedRetryFreesItsOwnStep guards against a budget that is exceeded because a retry that was returned
+// late makes a younger one look older.
+func TestReturnedRetryFreesItsOwnStep(t *testing.T) {
+	start := time.Unix(1000, 0)
+	r := retrylimiter.New(retrylimiter.Config{Window: 10 * time.Second, Extra: 2}, start)
+	if !r.AllowRetry(start, "s") { // taken by a search
+		t.Fatal("want a retry")
+	}
+	made := start.Add(9 * time.Second)
+	if !r.AllowRetry(made, "s") {
+		t.Fatal("want a second retry")
+	}
+	r.ReturnRetry(made, start, "s")
+	count := 1
+	for range 3 {
+		if r.AllowRetry(made.Add(2*time.Second), "s") {
+			count++
+		}
+	}
+	if count > 2 {
+		t.Errorf("%d retries within 2s, want 2 in a window of 10s", count)
+	}
+}
