An attempt that was to take over ends with a caller that has left

What callers saw: refusals as QueueFull, as upstreams lost slots at an entry for good. Cause: a call whose caller does not read blocks in a write. Meanwhile another upstream could be chosen; when the caller then left, nobody ended the attempt there: neither its slot nor its answer was given up. Evidence: TestSlowCallerLeavesDuringSwitch failed after 20 such callers: 503 QueueFull, want an answer. Change: the end of a call ends the attempt that was chosen as well. Measured: passes, with all tests of the package under the race detector.

--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -174,10 +174,14 @@
 	return b.answered
 }
 
-// dropBackup ends the search when the call has ended.
-func (x *exchange) dropBackup() {
+// dropBackup ends the search when the call has ended, with the attempt that would have taken over.
+func (x *exchange) dropBackup(ctx context.Context) {
 	x.progress.mu.Lock()
+	b := x.progress.backup
 	x.progress.endSearch()
 	x.progress.mu.Unlock()
 	x.searches.Wait()
+	if b != nil && b.answered != nil {
+		b.answered.end(ctx, balancer.Abandoned)
+	}
 }
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -109,7 +109,7 @@
 		defer x.f.removePending(x)
 	}
 	x.f.first(x.service.Name)
-	defer x.dropBackup()
+	defer x.dropBackup(ctx)
 	var taken *attempt // that has begun to be answered while another one was silent
 	for {
 		a := taken
--- /dev/null
+++ b/internal/request/forwarder/search_test.go
@@ -0,0 +1,67 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/standin"
+)
+
+// stalledCaller sends a call, reads nothing for a while and disconnects.
+func (b *bench) stalledCaller(path string, length time.Duration) {
+	conn, err := b.network.Dial(b.t.Context(), address(1))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%s: slow\r\n%s: k1\r\nContent-Length: 1\r\n\r\nx", path, standin.HeaderCall, standin.HeaderKey)
+	time.Sleep(length)
+	_ = conn.Close()
+	time.Sleep(time.Second)
+}
+
+// longStream streams more than a connection takes at once, without a pause. It answers other calls with a text.
+func longStream(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/chat/1" {
+		_, _ = io.WriteString(w, "answer")
+		return
+	}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := last + 1; n <= 100 && r.Context().Err() == nil; n++ {
+		_, _ = io.WriteString(w, "id: "+strconv.Itoa(n)+"\ndata: "+strings.Repeat("x", 60<<10)+"\n\n")
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// TestSlowCallerLeavesDuringSwitch guards against slots that are lost when the caller leaves while another
+
+// upstream has been chosen.
+func TestSlowCallerLeavesDuringSwitch(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, longStream)
+		b.upstream(3, longStream)
+		for i := range b.view.Upstreams {
+			b.view.Upstreams[i].Slots = 1
+		}
+		for range 20 {
+			b.view.Upstreams[1].IsDraining = true
+			b.update()
+			time.AfterFunc(500*time.Millisecond, func() {
+				b.view.Upstreams[1].IsDraining = false
+				b.update()
+				b.assigner.Report(address(2).Addr(), foxtailwharf.UpstreamLoad{IsDown: true, Running: 1})
+			})
+			b.stalledCaller("/chat/1", 2*time.Second)
+		}
+		b.view.Upstreams[0].IsDraining = true
+		b.update()
+		if a := b.call("/look/1", nil); a.body != "answer" {
+			t.Errorf("have %d %q, want an answer, since all other calls have ended", a.status, a.body)
+		}
+	})
+}
