A caller that reads slowly does not make its upstream a silent one

What callers saw: a stream went on at another upstream, mid-way, though its own one was sound; each such call ran twice and took a retry from the budget. Cause: the stall timer ran on while an event was written to the caller. Evidence: TestSlowCallerIsNoSilentUpstream failed: ran 2 times, want once. Change: the timer stands while an event with data is written. Measured: passes, with all tests of the package under the race detector.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -309,7 +309,8 @@
 		}
 		if event.HasData {
 			a.begin()
-			a.resetStallTimer()
+			// A caller that reads slowly does not make the upstream a silent one.
+			a.stallTimer.Stop()
 		}
 		if weights, hasWeights := x.f.c.Dialect.EventWeights(event.Text); hasWeights {
 			x.progress.setWeights(weights)
@@ -319,6 +320,9 @@
 			x.log("caller disconnected during its stream", zap.Error(err))
 			return callerGone, balancer.Abandoned
 		}
+		if event.HasData {
+			a.resetStallTimer()
+		}
 	}
 }
 
--- a/internal/request/forwarder/search_test.go
+++ b/internal/request/forwarder/search_test.go
@@ -65,3 +65,17 @@
 		}
 	})
 }
+
+// TestSlowCallerIsNoSilentUpstream guards against a second run of a call whose caller reads slowly.
+func TestSlowCallerIsNoSilentUpstream(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, longStream)
+		b.upstream(3, longStream)
+		b.stalledCaller("/chat/1", 2*time.Second)
+		if runs := b.ran(answer{id: "slow"}); runs != 1 {
+			t.Errorf("ran %d times, want once", runs)
+		}
+	})
+}
+
+// TestBannedDuringSearch guards against calls that reach another upstream though they were banned while that
