A call whose silent upstream has ended is held for no further search

What callers saw: an answer, a refusal or an error that was there was kept back until the deadline of the call; a server error of the only upstream left was replaced by OutcomeUnknown. Cause: when the silent upstream ended while the call was at another one, the search went on after that one had refused, up to the deadline, and an agent's report that it does not answer began a second search, which was waited for as well. Evidence: TestFirstEndsWhileOtherHasCall failed in all four cases: 200, 504 and 500 after 6.002s, 502 in place of the upstream's 500. Change: once the first attempt has ended, the other one is the last of its search; no search begins meanwhile, and its server error is an answer. Measured: all cases pass within 2.5s, with all tests of the package under the race detector.

--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -22,6 +22,7 @@
 const (
 	backupSearching backupState = iota
 	backupSent                  // the call was sent to another upstream
+	backupAlone                 // the call was sent to another upstream, and the first attempt has ended
 	backupChosen                // the other upstream answers, and the first attempt is ended
 	backupEnded
 )
@@ -79,7 +80,7 @@
 					break
 				}
 				hasRetry = false
-				if b.send(ctx, a) || !x.mayRetryAfterRun() {
+				if b.send(ctx, a) || b.isAlone() || !x.mayRetryAfterRun() {
 					return
 				}
 				continue
@@ -128,13 +129,21 @@
 	return true
 }
 
+// isAlone reports whether the first attempt has ended by itself.
+func (b *backup) isAlone() bool {
+	b.x.progress.mu.Lock()
+	defer b.x.progress.mu.Unlock()
+	return b.state == backupAlone
+}
+
 // choose ends the first attempt in favour of one that has begun to be answered. It returns false if the
 // first one has gone on meanwhile, or if the answer cannot continue what the caller has.
 func (b *backup) choose(a *attempt) bool {
 	p := &b.x.progress
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	isUsable := a.answer.Status < http.StatusInternalServerError && !isNotRunStatus(a.answer.Status)
+	isServerError := a.answer.Status >= http.StatusInternalServerError
+	isUsable := !isNotRunStatus(a.answer.Status) && (!isServerError || b.state == backupAlone)
 	if p.isHeadSent {
 		isUsable = a.answer.Status == http.StatusOK && p.continues(a)
 	}
@@ -153,17 +162,10 @@
 	x.excluded[id] = true
 }
 
-// takeBackup ends the search for another upstream, once the attempt under way has ended. It returns the
-// attempt that has taken over; nil if there is none.
+// takeBackup ends the search for another upstream, once the attempt under way has ended. It waits for the
+// upstream that the call was sent to, and returns the attempt that has taken over; nil if there is none.
 func (x *exchange) takeBackup() *attempt {
-	x.progress.mu.Lock()
-	b := x.progress.backup
-	x.progress.backup = nil
-	if b != nil && b.state == backupSearching {
-		b.state = backupEnded
-		b.cancel()
-	}
-	x.progress.mu.Unlock()
+	b := x.progress.leaveBackup()
 	x.searches.Wait()
 	if b == nil {
 		return nil
@@ -171,6 +173,8 @@
 	for id := range b.excluded {
 		x.exclude(id)
 	}
+	// Until now it has kept the attempt at the other upstream from a search of its own.
+	x.progress.dropBackup()
 	return b.answered
 }
 
--- a/internal/request/forwarder/progress.go
+++ b/internal/request/forwarder/progress.go
@@ -138,3 +138,27 @@
 	p.backup = nil
 	return true
 }
+
+// leaveBackup records that the attempt under way has ended, and ends a search that has found nothing. It returns
+// the backup; nil for none.
+func (p *progress) leaveBackup() *backup {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.backup
+	switch {
+	case b == nil:
+	case b.state == backupSearching:
+		b.state = backupEnded
+		b.cancel()
+	case b.state == backupSent:
+		b.state = backupAlone
+	}
+	return b
+}
+
+// dropBackup forgets a backup that is over.
+func (p *progress) dropBackup() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backup = nil
+}
--- a/internal/request/forwarder/search_test.go
+++ b/internal/request/forwarder/search_test.go
@@ -13,6 +13,52 @@
 	"github.com/foxtailwharf/foxtailwharf/standin"
 )
 
+// after answers once a time has passed.
+func after(length time.Duration, answer func(w http.ResponseWriter, r *http.Request)) func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		sayNothing(r, length)
+		answer(w, r)
+	}
+}
+
+// TestFirstEndsWhileOtherHasCall guards against calls that are held until their deadline once the silent
+
+// upstream has ended and the other one has or refuses the call.
+func TestFirstEndsWhileOtherHasCall(t *testing.T) {
+	tests := []struct {
+		name         string
+		first, other func(w http.ResponseWriter, r *http.Request)
+		isSuspect    bool // the agent of the other upstream reports that it does not answer
+		attempts     int
+		status       int
+		want         string
+	}{
+		{"the other one is a suspect", breakOff, text(http.StatusOK, "other"), true, 3, http.StatusOK, "other"},
+		{"the other one refuses", breakOff, refuse, false, 2, http.StatusBadGateway, ""},
+		{"the other one refuses after an error", text(http.StatusInternalServerError, "bad"), refuse, false, 2, http.StatusInternalServerError, "bad"},
+		{"the other one fails", breakOff, text(http.StatusInternalServerError, "bad"), false, 2, http.StatusInternalServerError, "bad"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.setAttempts(tt.attempts)
+				b.upstream(2, after(1500*time.Millisecond, tt.first))
+				time.AfterFunc(100*time.Millisecond, func() { b.upstream(3, after(700*time.Millisecond, tt.other)) })
+				if tt.isSuspect {
+					time.AfterFunc(1600*time.Millisecond, func() {
+						b.assigner.Report(address(3).Addr(), foxtailwharf.UpstreamLoad{IsDown: true, Running: 1})
+					})
+				}
+				started := time.Now()
+				a := b.call("/look/1", nil)
+				if took := time.Since(started); a.status != tt.status || (tt.want != "" && a.body != tt.want) || took > 2500*time.Millisecond {
+					t.Errorf("have %d %q after %s, want %d %q within 2.5s", a.status, a.body, took, tt.status, tt.want)
+				}
+			})
+		})
+	}
+}
+
 // stalledCaller sends a call, reads nothing for a while and disconnects.
 func (b *bench) stalledCaller(path string, length time.Duration) {
 	conn, err := b.network.Dial(b.t.Context(), address(1))
