A call that is banned while another upstream is sought goes no further

Cause: the search checked for bans before it waited for a slot, and not after. Evidence: TestBannedDuringSearch failed: ran 2 times, want 1, though the ban came half a second before the second upstream. Change: the check is made again when the slot is there. Measured: passes, with all tests of the package under the race detector.

--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -75,7 +75,8 @@
 		if hasRetry {
 			if u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(b.from, b.excluded, x.deadline)); refusal == nil {
 				a := newAttempt(x, u, b.from)
-				if !b.setSent() {
+				// A ban may have come during the wait, as in exchange.acquire.
+				if !x.mayRetryAfterRun() || !b.setSent() {
 					a.end(ctx, balancer.Abandoned)
 					break
 				}
--- a/internal/request/forwarder/search_test.go
+++ b/internal/request/forwarder/search_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 )
 
@@ -125,3 +126,17 @@
 }
 
 // TestBannedDuringSearch guards against calls that reach another upstream though they were banned while that
+
+// one was sought.
+func TestBannedDuringSearch(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, silently)
+		time.AfterFunc(1500*time.Millisecond, func() {
+			b.forwarder.MergeBan(quarantiner.Ban{Digest: foxtailwharf.Digest([]byte("s\na1\nPOST\n/look/1\nbody")), Remaining: time.Minute})
+		})
+		time.AfterFunc(2*time.Second, func() { b.upstream(3, text(http.StatusOK, "other")) })
+		if a := b.call("/look/1", nil); b.ran(a) != 1 {
+			t.Errorf("ran %d times, want 1: the call was banned before the second upstream was there", b.ran(a))
+		}
+	})
+}
