--- a/internal/request/forwarder/unread_test.go
+++ b/internal/request/forwarder/unread_test.go
@@ -309,7 +309,7 @@
 // TestShutdownIgnoresRefusedBodies guards against a graceful stop that waits for a refused caller's body.
 func TestShutdownIgnoresRefusedBodies(t *testing.T) {
 	tt := unreadCases()[0]
-	b := newBench(t)
+	b := newBench(t, newMemoryNetwork())
 	t.Cleanup(b.close)
 	b.update()
 	e := b.listen()
