Balancer: an upstream that says in an answer that it is leaving gets no more calls

Cause: nothing read the header.

Picker, permits, retries and the queue read it in one place (isEligible). Balancer.HandleReply gets the upstream to which the call was sent instead of its ID, so that a late answer of an earlier run says nothing of the present one; tests that call it pass the upstream. Waiting calls are refused if all upstreams are leaving. IsLost takes such an upstream for draining. The word is believed only from an answer with the ID of the call, and not from 421. Refused calls log their Detail.

--- a/call.go
+++ b/call.go
@@ -55,6 +55,8 @@
 	// processes together, for as long as its responses say so.
 	HasLimit bool
 	Limit    float64
+	// Signals are empty if the response does not have the ID of the call.
+	Signals
 }
 
 // CallDialect translates calls between HTTP messages and the types of this package.
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -87,12 +87,30 @@
 	a.Update(func(b *balancer.Balancer) { b.Finished(time.Now(), id, result) })
 }
 
-// HandleReply passes what a response of an upstream says of its limit to the balancer. It reports
-// whether this entry knew otherwise.
-func (a *Assigner) HandleReply(id string, sentAt time.Time, reply foxtailwharf.Reply) (isNew bool) {
+// HandleReply passes what a response of an upstream says of the upstream to the balancer, and refuses the
+// waiting calls that no upstream can take after it. It returns what this entry did not know.
+func (a *Assigner) HandleReply(sentTo foxtailwharf.Upstream, sentAt time.Time, reply foxtailwharf.Reply) balancer.Change {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.balancer.HandleReply(time.Now(), id, sentAt, reply)
+	now := time.Now()
+	change := a.balancer.HandleReply(now, sentTo, sentAt, reply)
+	if change.IsLeaving {
+		a.refuseUnservable(now, sentTo.Service)
+	}
+	return change
+}
+
+// refuseUnservable refuses the waiting calls of a service that no upstream can take. The lock must be
+// held.
+func (a *Assigner) refuseUnservable(now time.Time, service string) {
+	for _, w := range a.waiters {
+		if w.request.Requirements.Service != service || a.balancer.HasCandidates(now, w.request.Requirements) {
+			continue
+		}
+		if refusal := a.refusal(now, w.request.Requirements); refusal != nil {
+			a.endWait(w, assignment{refusal: refusal})
+		}
+	}
 }
 
 // LearnLimit passes a limit that another entry has announced to the balancer, as Balancer.LearnLimit does.
@@ -151,6 +169,13 @@
 	return a.balancer.Limited()
 }
 
+// Leaving returns the number of listed upstreams that have said that they are leaving.
+func (a *Assigner) Leaving() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.Leaving()
+}
+
 // Waiting returns the length of the queue.
 func (a *Assigner) Waiting() int {
 	a.mu.Lock()
@@ -221,7 +246,7 @@
 	defer a.mu.Unlock()
 	now := time.Now()
 	if !a.balancer.HasCandidates(now, request.Requirements) {
-		if refusal := a.limitRefusal(now, request.Requirements); refusal != nil {
+		if refusal := a.refusal(now, request.Requirements); refusal != nil {
 			return nil, foxtailwharf.Upstream{}, refusal
 		}
 		return nil, foxtailwharf.Upstream{}, foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "no upstream is eligible for the call")
@@ -239,13 +264,17 @@
 	}
 }
 
-// limitRefusal returns the refusal of a call if all upstreams that could take it are at the limit that
-// they have named, else nil. The lock must be held.
-func (a *Assigner) limitRefusal(now time.Time, requirements balancer.Requirements) *foxtailwharf.Refusal {
-	if !a.balancer.IsLimited(now, requirements) {
+// refusal returns the refusal of a call that has no candidates if what upstreams have said of themselves
+// is the cause, else nil. The lock must be held.
+func (a *Assigner) refusal(now time.Time, requirements balancer.Requirements) *foxtailwharf.Refusal {
+	switch {
+	case a.balancer.IsLimited(now, requirements):
+		return foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "all upstreams are at the limits that they have named")
+	case a.balancer.AreLeaving(requirements.Service):
+		return foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "all upstreams of the service are leaving")
+	default:
 		return nil
 	}
-	return foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "all upstreams are at the limits that they have named")
 }
 
 // cancelWait removes a call from the queue, unless it was assigned an upstream meanwhile.
@@ -286,7 +315,7 @@
 			continue
 		}
 		if !hasCandidates {
-			if refusal := a.limitRefusal(now, requirements); refusal != nil {
+			if refusal := a.refusal(now, requirements); refusal != nil {
 				a.endWait(w, assignment{refusal: refusal})
 				continue
 			}
--- a/internal/request/assigner/assigner_test.go
+++ b/internal/request/assigner/assigner_test.go
@@ -26,15 +26,19 @@
 	a.Update(func(b *balancer.Balancer) {
 		var list []foxtailwharf.Upstream
 		for n := range engines {
-			list = append(list, foxtailwharf.Upstream{
-				ID: machine(n + 1).String(), Service: "s", Address: netip.AddrPortFrom(machine(n+1), 80), FailureDomain: "d", Slots: slots, Weights: 1,
-			})
+			list = append(list, engine(n+1))
 		}
 		b.Set(list)
 	})
 	return a
 }
 
+func engine(n int) foxtailwharf.Upstream {
+	return foxtailwharf.Upstream{
+		ID: machine(n).String(), Service: "s", Address: netip.AddrPortFrom(machine(n), 80), FailureDomain: "d", Slots: slots, Weights: 1,
+	}
+}
+
 // report passes the report of an engine with a number of running calls.
 func report(a *assigner.Assigner, n, running int) {
 	a.Report(machine(n), foxtailwharf.UpstreamLoad{Weights: 1, Running: running, Listeners: 1})
@@ -134,8 +138,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a := newAssigner(1)
 		report(a, 1, 0)
-		id := machine(1).String()
-		a.HandleReply(id, time.Now(), foxtailwharf.Reply{IsAuthentic: true, HasLimit: true, Limit: 1})
+		a.HandleReply(engine(1), time.Now(), foxtailwharf.Reply{IsAuthentic: true, HasLimit: true, Limit: 1})
 		asked := time.Now()
 		first := acquire(t.Context(), a, queuer.Rank{}, 3*time.Second)
 		time.Sleep(100 * time.Millisecond)
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -39,6 +39,8 @@
 	reporting map[string]bool      // engines whose agents report here, by ID; nil for all
 	lifted    []liftedLimit        // for TakeAsks
 	hasAsks   bool                 // TakeAsks may have requests
+	// statements are what upstreams have said of themselves, by run.
+	statements map[run]*statement
 }
 
 // release is a version of a service's weights and when it replaces older ones.
@@ -59,6 +61,8 @@
 		byMachine: make(map[netip.Addr]*upstream),
 		releases:  make(map[string][]release),
 		entries:   1,
+
+		statements: make(map[run]*statement),
 	}
 }
 
@@ -147,6 +151,7 @@
 			u = &upstream{}
 		}
 		u.Upstream = listed
+		u.statement = b.statements[runOf(u.current())]
 		u.isReporting = b.reporting == nil || b.reporting[listed.ID]
 		u.isReplaced = false
 		byID[listed.ID] = u
@@ -157,6 +162,7 @@
 		}
 	}
 	b.byID = byID
+	b.forgetStatements()
 }
 
 // keepYounger returns the one of two upstreams at an address that started later and marks the other
@@ -180,7 +186,11 @@
 	if u == nil {
 		return
 	}
+	isOtherRun := !load.Born.Equal(u.load.Born)
 	u.load = load
+	if isOtherRun {
+		u.statement = b.statements[runOf(u.current())]
+	}
 	u.reportedAt = now
 	u.othersInFlight = max(float64(load.Running+load.Queued-u.ownInFlight), 0)
 	u.sentSinceReport = 0
@@ -276,7 +286,7 @@
 // silent for a while, or take no new connections, and still answer the calls that it has.
 func (b *Balancer) IsSuspect(now time.Time, id string) bool {
 	u := b.byID[id]
-	return u != nil && u.reportAge(now) <= loadLifetime && u.load.IsDown && !u.IsDraining
+	return u != nil && u.reportAge(now) <= loadLifetime && u.load.IsDown && !u.IsDraining && !u.statement.leaves()
 }
 
 // IsLost reports whether an upstream has ended or is a suspect. Together with a broken connection this tells
--- a/internal/request/balancer/limit.go
+++ b/internal/request/balancer/limit.go
@@ -67,13 +67,10 @@
 	Request  foxtailwharf.PermitRequest
 }
 
-// HandleReply records whether a response of an upstream to a call that was sent at a time names a
-// limit. It reports whether this entry knew otherwise.
-func (b *Balancer) HandleReply(now time.Time, id string, sentAt time.Time, reply foxtailwharf.Reply) (isNew bool) {
-	u := b.byID[id]
+// handleLimit records whether a response to a call that was sent at a time names a limit. It reports
+// whether this entry knew otherwise.
+func (b *Balancer) handleLimit(now time.Time, u *upstream, sentAt time.Time, reply foxtailwharf.Reply) (isNew bool) {
 	switch {
-	case u == nil || reply.IsMisdirected:
-		return false
 	case reply.HasLimit && (reply.IsAuthentic || reply.IsNotRun):
 		return b.name(now, u, reply.Limit, now, true)
 	case !reply.HasLimit && reply.IsAuthentic && !reply.IsNotRun && u.limit != nil && sentAt.After(u.limit.learnedAt):
--- a/internal/request/balancer/limit_test.go
+++ b/internal/request/balancer/limit_test.go
@@ -32,7 +32,7 @@
 // was told and answered with a permit or a refusal.
 func newLimited(answer foxtailwharf.Permit, list ...foxtailwharf.Upstream) *balancer.Balancer {
 	b := newBalancer(list...)
-	b.HandleReply(start, list[0].ID, start, naming)
+	b.HandleReply(start, list[0], start, naming)
 	b.TakeAsks(start)
 	b.HandlePermit(start, list[0], answer)
 	return b
@@ -107,26 +107,26 @@
 		change func(b *balancer.Balancer)
 		want   bool // whether the upstream is limited
 	}{
-		{"a response", func(b *balancer.Balancer) { b.HandleReply(start, "u1", start, naming) }, true},
+		{"a response", func(b *balancer.Balancer) { b.HandleReply(start, one, start, naming) }, true},
 		{"a rejection with a limit", func(b *balancer.Balancer) {
-			b.HandleReply(start, "u1", start, foxtailwharf.Reply{IsNotRun: true, HasLimit: true, Limit: 1})
+			b.HandleReply(start, one, start, foxtailwharf.Reply{IsNotRun: true, HasLimit: true, Limit: 1})
 		}, true},
 		{"a response of another upstream at the address", func(b *balancer.Balancer) {
-			b.HandleReply(start, "u1", start, foxtailwharf.Reply{IsNotRun: true, IsMisdirected: true, HasLimit: true, Limit: 1})
+			b.HandleReply(start, one, start, foxtailwharf.Reply{IsNotRun: true, IsMisdirected: true, HasLimit: true, Limit: 1})
 		}, false},
 		{"an announcement", func(b *balancer.Balancer) { b.LearnLimit(start, announced) }, true},
 		{"an announcement for a later run", func(b *balancer.Balancer) { b.LearnLimit(start, restarted) }, false},
 		{"a response without a limit to a call sent before", func(b *balancer.Balancer) {
 			b.LearnLimit(later, announced)
-			b.HandleReply(later, "u1", start, silent)
+			b.HandleReply(later, one, start, silent)
 		}, true},
 		{"a response without a limit to a call sent after", func(b *balancer.Balancer) {
 			b.LearnLimit(start, announced)
-			b.HandleReply(later, "u1", later, silent)
+			b.HandleReply(later, one, later, silent)
 		}, false},
 		{"a rejection without a limit", func(b *balancer.Balancer) {
 			b.LearnLimit(start, announced)
-			b.HandleReply(later, "u1", later, rejected)
+			b.HandleReply(later, one, later, rejected)
 		}, true},
 		{"an announced end", func(b *balancer.Balancer) {
 			b.LearnLimit(start, announced)
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -110,12 +110,7 @@
 	if best == nil {
 		return chosen, false, hasCandidates
 	}
-	chosen = best.Upstream
-	// The agent may report a restart before the list does, long before it while the store is away.
-	if best.reportAge(now) < stateLifetime && best.load.Born.After(chosen.Born) {
-		chosen.Born = best.load.Born
-	}
-	return chosen, true, true
+	return best.current(), true, true
 }
 
 // consider adds an upstream to its group.
@@ -262,7 +257,7 @@
 
 // isEligible reports whether the upstream may get the call at all, regardless of its load.
 func (p *picker) isEligible(u *upstream, age time.Duration) bool {
-	if u.IsDraining || u.isReplaced || p.req.Exclude[u.ID] {
+	if u.IsDraining || u.isReplaced || u.statement.leaves() || p.req.Exclude[u.ID] {
 		return false
 	}
 	if p.req.NeedsWeights && !p.hasAllowedWeights(u, age) {
--- a/internal/request/balancer/upstream.go
+++ b/internal/request/balancer/upstream.go
@@ -47,7 +47,18 @@
 	ejections         int
 	ejectedUntil      time.Time
 	fullUntil         time.Time
-	limit             *limit // that it has named; nil for none
+	limit             *limit     // that it has named; nil for none
+	statement         *statement // nil for none
+}
+
+// current returns the upstream with the start of its present run. The agent may report a restart before
+// the list does, long before it while the store is away.
+func (u *upstream) current() foxtailwharf.Upstream {
+	current := u.Upstream
+	if u.load.Born.After(current.Born) {
+		current.Born = u.load.Born
+	}
+	return current
 }
 
 // sentPrompt is the prompt of a call that the last report may not include.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -94,9 +94,7 @@
 	}
 	a.answer = answer
 	a.reply = a.x.f.c.Dialect.ReadReply(a.x.call.ID, answer.Status, answer.Header)
-	if a.x.f.c.Assigner.HandleReply(a.upstream.ID, sentAt, a.reply) {
-		a.log("upstream has changed its limit", zap.Bool("HasLimit", a.reply.HasLimit), zap.Float64("PerSecond", a.reply.Limit))
-	}
+	a.logChange(a.x.f.c.Assigner.HandleReply(a.upstream, sentAt, a.reply), a.reply)
 	switch {
 	case a.reply.IsNotRun:
 		a.x.progress.dropRun()
@@ -131,6 +129,16 @@
 	a.x.f.c.Assigner.Finished(a.upstream.ID, result)
 }
 
+// logChange logs what a response has told this entry of the upstream.
+func (a *attempt) logChange(c balancer.Change, reply foxtailwharf.Reply) {
+	if c.HasLimit {
+		a.log("upstream has changed its limit", zap.Bool("HasLimit", reply.HasLimit), zap.Float64("PerSecond", reply.Limit))
+	}
+	if c.IsLeaving {
+		a.log("upstream has said that it is leaving")
+	}
+}
+
 // request builds the request to the upstream.
 func (a *attempt) request() requester.Request {
 	x := a.x
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -332,7 +332,7 @@
 	if refusal.IsNotRun && refusal.RetryAfter == 0 && !x.deadline.IsZero() {
 		refusal.RetryAfter = x.f.returnDelay(x.service.Name, time.Until(x.deadline))
 	}
-	x.log("refused", zap.String("Reason", string(refusal.Reason)), zap.Bool("NotRun", refusal.IsNotRun),
+	x.log("refused", zap.String("Reason", string(refusal.Reason)), zap.String("Detail", refusal.Detail), zap.Bool("NotRun", refusal.IsNotRun),
 		zap.Duration("RetryAfter", refusal.RetryAfter))
 	x.f.c.Meter.Increment(meter.CounterRefused + string(refusal.Reason))
 	x.boundWrite()
--- /dev/null
+++ b/internal/request/forwarder/signals_test.go
@@ -0,0 +1,98 @@
+package forwarder_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/standin"
+)
+
+// signaling returns an answer with a header field.
+func signaling(name, value string, answer http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(name, value)
+		answer(w, r)
+	}
+}
+
+// ofOtherCall returns an answer that bears the ID of another call.
+func ofOtherCall(answer http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(standin.HeaderCall, "another")
+		answer(w, r)
+	}
+}
+
+// arrivals counts the calls that reach an upstream.
+type arrivals struct {
+	count  int
+	answer http.HandlerFunc
+}
+
+func (a *arrivals) serve(w http.ResponseWriter, r *http.Request) {
+	a.count++
+	a.answer(w, r)
+}
+
+// TestLeavingGetsNoCalls guards against calls that reach an upstream after an answer of its own has
+// said that it is leaving, while the list shows it as ready.
+func TestLeavingGetsNoCalls(t *testing.T) {
+	misdirected := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+	tests := []struct {
+		name, path string
+		answer     http.HandlerFunc
+		isLeaving  bool
+	}{
+		{"a success", "/look/1", text(http.StatusOK, "ok"), true},
+		{"a refusal", "/book/1", refuse, true},
+		{"a server error", "/look/1", text(http.StatusInternalServerError, "bad"), true},
+		{"not found", "/book/1", text(http.StatusNotFound, "no"), true},
+		{"a stream", "/chat/1", events(1, 3, false), true},
+		{"a stream that breaks off", "/chat/1", events(1, 3, true), true},
+		{"a head alone", "/look/1", func(w http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, true},
+		{"an answer to another call", "/look/1", ofOtherCall(text(http.StatusOK, "ok")), false},
+		{"another upstream at the address", "/look/1", misdirected, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				leaving := &arrivals{answer: signaling(standin.HeaderLeaving, "1", tt.answer)}
+				b.upstream(2, leaving.serve)
+				b.call(tt.path, nil)
+				sent := leaving.count
+				b.upstream(3, events(1, 5, false))
+				b.update() // as a list that shows it as ready
+				time.Sleep(3 * time.Second)
+				for range 20 {
+					b.call("/chat/1", nil)
+				}
+				if have := leaving.count > sent; have == tt.isLeaving {
+					t.Errorf("%d calls reach it after its word, want none: %t", leaving.count-sent, tt.isLeaving)
+				}
+			})
+		})
+	}
+}
+
+// TestLeavingRefusesAtOnce guards against calls that wait while all upstreams of their service are leaving.
+func TestLeavingRefusesAtOnce(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, signaling(standin.HeaderLeaving, "1", events(1, 30, false)))
+		stream := make(chan answer, 1)
+		go func() { stream <- b.call("/chat/1", nil) }()
+		time.Sleep(100 * time.Millisecond)
+		started := time.Now()
+		a := b.call("/look/1", nil)
+		if took := time.Since(started); a.status != http.StatusServiceUnavailable || b.ran(a) != 0 || took > 50*time.Millisecond {
+			t.Errorf("have %d after %s and %d attempts, want 503 at once", a.status, took, b.ran(a))
+		}
+		if s := <-stream; len(strings.Fields(strings.Join(ids(s.body), " "))) != 30 {
+			t.Errorf("the stream ends after %d events, want that it goes on to its end", len(ids(s.body)))
+		}
+	})
+}
--- /dev/null
+++ b/signals.go
@@ -0,0 +1,8 @@
+package foxtailwharf
+
+// Signals is what an upstream says of itself in the head of its response to a call, whatever the
+// answer to the call is.
+type Signals struct {
+	// IsLeaving is true if the upstream takes no new calls. It finishes those that it has.
+	IsLeaving bool
+}
--- a/standin/dialect.go
+++ b/standin/dialect.go
@@ -26,6 +26,7 @@
 	HeaderPromptParts    = "X-Prompt-Parts" // separated by commas, without the last one
 	HeaderLastEventID    = "Last-Event-Id"
 	HeaderLimit          = "X-Limit" // calls a second
+	HeaderLeaving        = "X-Leaving"
 	versionPrefix        = "version: "
 )
 
@@ -83,6 +84,10 @@
 		return foxtailwharf.Reply{}
 	}
 	limit, err := strconv.ParseFloat(header.Get(HeaderLimit), 64)
+	var signals foxtailwharf.Signals
+	if header.Get(HeaderCall) == callID {
+		signals.IsLeaving = header.Get(HeaderLeaving) == "1"
+	}
 	return foxtailwharf.Reply{
 		IsNotRun:      header.Get(HeaderNotRun) != "",
 		IsMisdirected: status == http.StatusMisdirectedRequest,
@@ -90,6 +95,7 @@
 		Weights:       int64(intOrZero(header.Get(HeaderVersion))),
 		HasLimit:      err == nil,
 		Limit:         limit,
+		Signals:       signals,
 	}
 }
 
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -64,6 +64,7 @@
 	queue          []*queuedCall
 	isDown         bool
 	limit          string // calls a second that the responses name; empty for none
+	isLeaving      bool
 	processContext context.Context
 	endProcess     context.CancelFunc
 }
@@ -96,7 +97,7 @@
 	time.AfterFunc(restartDelay, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.isDown, e.startedAt = false, time.Now()
+		e.isDown, e.isLeaving, e.startedAt = false, false, time.Now()
 		e.processContext, e.endProcess = context.WithCancel(context.Background())
 	})
 }
@@ -117,10 +118,20 @@
 	e.limit = limit
 }
 
-// writeLimit adds the limit to the header of a response.
-func (e *SlotEngine) writeLimit(h http.Header) {
+// Leave makes all responses from now on say that the engine is leaving. It goes on to serve.
+func (e *SlotEngine) Leave() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.isLeaving = true
+}
+
+// writeSignals adds what the engine says of itself to the header of a response.
+func (e *SlotEngine) writeSignals(h http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isLeaving {
+		h.Set(HeaderLeaving, "1")
+	}
 	if e.limit != "" {
 		h.Set(HeaderLimit, e.limit)
 	}
@@ -165,7 +176,7 @@
 	start, refusal := e.admit(r)
 	if refusal != 0 {
 		w.Header().Set(HeaderNotRun, "1")
-		e.writeLimit(w.Header())
+		e.writeSignals(w.Header())
 		w.WriteHeader(refusal)
 		return
 	}
@@ -245,7 +256,7 @@
 			e.Crash(e.c.CrashRestart, false)
 			panic(http.ErrAbortHandler)
 		}
-		e.writeLimit(header)
+		e.writeSignals(header)
 		delay = eventInterval
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", event, r.Header.Get(HeaderCall), event); err != nil {
 			return
