Balancer: an upstream that answers 503 with Retry-After gets no calls for so long

What callers saw: calls went on to upstreams that had asked for none, were refused there and spent the retries; where all upstreams of a service wanted nothing, callers were refused or waited to their deadline, with a Retry-After that had nothing to do with it.

Cause: Retry-After of an upstream was not read; any refusal counted as 30 ms without a free slot.

Change: a pause belongs to the statement of a run. It ends after the time that was said, five minutes at the most, and a random part of a quarter of it (50 ms to 1 s). The rule counts each answer by itself, so a shorter time takes back no longer one, and neither does a success. Five minutes: a ceiling of half a minute would break the word of an upstream that wants a minute; one that names hours by mistake costs its callers no more than that. After the end one call is sent, two more with each answer, and one every 250 ms in any case. Such an upstream belongs to no group of the picker, so it neither counts for maxEjectedFraction nor asks for permits. Waiting calls are refused as soon as the first return is too late for them (Reason UpstreamsPaused); a timer of the assigner ends the wait of the others. A call that was refused in this way may go to the same upstream once more after the pause.

--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -273,6 +273,7 @@
 	d.meter.Gauge("Upstreams", func() int64 { return int64(len(d.follower.View().Upstreams)) })
 	d.meter.Gauge("LimitedUpstreams", func() int64 { return int64(d.assigner.Limited()) })
 	d.meter.Gauge("LeavingUpstreams", func() int64 { return int64(d.assigner.Leaving()) })
+	d.meter.Gauge("PausedUpstreams", func() int64 { return int64(d.assigner.Paused()) })
 	d.meter.Gauge("OtherEntries", func() int64 { return int64(len(d.otherEntries())) })
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", d.meter.ServeText)
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -21,6 +21,7 @@
 	Arrived      time.Time
 	StartBy      time.Time // latest start at which the call still meets its goal
 	WaitUntil    time.Time // end of the wait for capacity
+	Deadline     time.Time // of the call
 }
 
 // maxDispatchPause is how long reports that leave no room for a call may postpone dispatch. Capacity
@@ -39,6 +40,7 @@
 	lastID       uint64 // of the newest waiter
 	dispatchedAt time.Time
 	asked        map[string]chan struct{} // closed when the request for a permit is answered, by upstream
+	wake         *time.Timer              // runs wakeUp at the end of a pause, while calls wait
 }
 
 // waiter is a call in the queue. The channel has a buffer of one, so that dispatch never blocks.
@@ -56,7 +58,10 @@
 
 // New returns an assigner that owns the balancer: nothing else may use it.
 func New(b *balancer.Balancer) *Assigner {
-	return &Assigner{balancer: b, queue: queuer.New(), waiters: make(map[uint64]*waiter), asked: make(map[string]chan struct{})}
+	a := &Assigner{balancer: b, queue: queuer.New(), waiters: make(map[uint64]*waiter), asked: make(map[string]chan struct{})}
+	a.wake = time.AfterFunc(time.Hour, a.wakeUp)
+	a.wake.Stop()
+	return a
 }
 
 // Update changes the balancer under the lock and assigns the capacity that this has freed.
@@ -94,9 +99,12 @@
 	defer a.mu.Unlock()
 	now := time.Now()
 	change := a.balancer.HandleReply(now, sentTo, sentAt, reply)
-	if change.IsLeaving {
+	if change.IsLeaving || change.Pause > 0 {
 		a.refuseUnservable(now, sentTo.Service)
 	}
+	if change.Pause > 0 || change.IsReturning {
+		a.dispatch(now)
+	}
 	return change
 }
 
@@ -107,7 +115,7 @@
 		if w.request.Requirements.Service != service || a.balancer.HasCandidates(now, w.request.Requirements) {
 			continue
 		}
-		if refusal := a.refusal(now, w.request.Requirements); refusal != nil {
+		if refusal := a.refusal(now, w.request); refusal != nil {
 			a.endWait(w, assignment{refusal: refusal})
 		}
 	}
@@ -176,6 +184,20 @@
 	return a.balancer.Leaving()
 }
 
+// Paused returns the number of listed upstreams that want no calls at present.
+func (a *Assigner) Paused() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.Paused(time.Now())
+}
+
+// IsPaused reports whether an upstream wants no calls at present, as Balancer.IsPaused does.
+func (a *Assigner) IsPaused(u foxtailwharf.Upstream) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.IsPaused(time.Now(), u)
+}
+
 // Waiting returns the length of the queue.
 func (a *Assigner) Waiting() int {
 	a.mu.Lock()
@@ -246,10 +268,12 @@
 	defer a.mu.Unlock()
 	now := time.Now()
 	if !a.balancer.HasCandidates(now, request.Requirements) {
-		if refusal := a.refusal(now, request.Requirements); refusal != nil {
+		if refusal := a.refusal(now, request); refusal != nil {
 			return nil, foxtailwharf.Upstream{}, refusal
 		}
-		return nil, foxtailwharf.Upstream{}, foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "no upstream is eligible for the call")
+		if a.balancer.FirstReturn(now, request.Requirements).IsZero() {
+			return nil, foxtailwharf.Upstream{}, foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "no upstream is eligible for the call")
+		}
 	}
 	a.lastID++
 	w := &waiter{id: a.lastID, request: request, ended: make(chan assignment, 1)}
@@ -266,17 +290,42 @@
 
 // refusal returns the refusal of a call that has no candidates if what upstreams have said of themselves
 // is the cause, else nil. The lock must be held.
-func (a *Assigner) refusal(now time.Time, requirements balancer.Requirements) *foxtailwharf.Refusal {
+func (a *Assigner) refusal(now time.Time, request Request) *foxtailwharf.Refusal {
+	firstReturn := a.balancer.FirstReturn(now, request.Requirements)
 	switch {
-	case a.balancer.IsLimited(now, requirements):
+	case !firstReturn.IsZero() && firstReturn.Before(request.WaitUntil):
+		return nil
+	case a.balancer.IsLimited(now, request.Requirements):
 		return foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "all upstreams are at the limits that they have named")
-	case a.balancer.AreLeaving(requirements.Service):
+	case !firstReturn.IsZero():
+		return a.pausedRefusal(now, firstReturn, request.Deadline)
+	case a.balancer.AreLeaving(request.Requirements.Service):
 		return foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "all upstreams of the service are leaving")
 	default:
 		return nil
 	}
 }
 
+// pausedRefusal returns the refusal of a call that cannot be served before an upstream returns from a
+// pause. The lock must be held.
+func (a *Assigner) pausedRefusal(now, firstReturn, deadline time.Time) *foxtailwharf.Refusal {
+	refusal := foxtailwharf.NotRun(foxtailwharf.ReasonUpstreamsPaused, "all upstreams want no calls for a time")
+	refusal.RetryAfter = a.balancer.RetryAfter(now, firstReturn, deadline)
+	return refusal
+}
+
+// NotAccepted returns the refusal of a call that upstreams have refused and that may not be sent again.
+func (a *Assigner) NotAccepted(request Request) *foxtailwharf.Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	firstReturn := a.balancer.FirstReturn(now, request.Requirements)
+	if firstReturn.IsZero() || a.balancer.HasCandidates(now, request.Requirements) {
+		return foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "no upstream accepted the call")
+	}
+	return a.pausedRefusal(now, firstReturn, request.Deadline)
+}
+
 // cancelWait removes a call from the queue, unless it was assigned an upstream meanwhile.
 func (a *Assigner) cancelWait(w *waiter) (foxtailwharf.Upstream, *foxtailwharf.Refusal) {
 	a.mu.Lock()
@@ -291,9 +340,27 @@
 	return foxtailwharf.Upstream{}, foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "no upstream had capacity in time")
 }
 
-// dispatch assigns all free capacity. The lock must be held. Once no upstream has capacity for a
-// call, the other calls of the same service and rank are skipped.
+// dispatch assigns all free capacity, and sees to it that the end of a pause is noticed. The lock must be
+// held.
 func (a *Assigner) dispatch(now time.Time) {
+	a.assign(now)
+	if a.queue.Len() == 0 {
+		a.wake.Stop()
+		return
+	}
+	if next := a.balancer.NextReturn(now); !next.IsZero() {
+		a.wake.Reset(next.Sub(now))
+	}
+}
+
+// wakeUp assigns the capacity that has appeared with time.
+func (a *Assigner) wakeUp() {
+	a.Update(func(*balancer.Balancer) {})
+}
+
+// assign assigns all free capacity. The lock must be held. Once no upstream has capacity for a call,
+// the other calls of the same service and rank are skipped.
+func (a *Assigner) assign(now time.Time) {
 	type class struct {
 		service string
 		rank    queuer.Rank
@@ -315,7 +382,7 @@
 			continue
 		}
 		if !hasCandidates {
-			if refusal := a.refusal(now, requirements); refusal != nil {
+			if refusal := a.refusal(now, w.request); refusal != nil {
 				a.endWait(w, assignment{refusal: refusal})
 				continue
 			}
--- a/internal/request/assigner/assigner_test.go
+++ b/internal/request/assigner/assigner_test.go
@@ -161,3 +161,44 @@
 		}
 	})
 }
+
+// TestPauseOfWaitingCalls checks what becomes of calls that wait at full engines once these want no calls
+// for a time: those that can wait are assigned soon after it, the others are refused at once.
+func TestPauseOfWaitingCalls(t *testing.T) {
+	const pause = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		a := newAssigner(1)
+		report(a, 1, slots)
+		patient := acquire(t.Context(), a, queuer.Rank{}, 4*time.Second)
+		impatient := acquire(t.Context(), a, queuer.Rank{Route: 1}, time.Second)
+		hurried := acquire(t.Context(), a, queuer.Rank{}, time.Second)
+		time.Sleep(100 * time.Millisecond)
+		a.HandleReply(engine(1), time.Now(), foxtailwharf.Reply{IsNotRun: true, Signals: foxtailwharf.Signals{RetryAfter: pause}})
+		report(a, 1, 0)
+		for _, q := range []*acquisition{impatient, hurried} {
+			<-q.done
+			if q.refusal == nil || q.refusal.Reason != foxtailwharf.ReasonUpstreamsPaused || q.after > 100*time.Millisecond {
+				t.Errorf("have refusal %v after %s, want %s at once", q.refusal, q.after, foxtailwharf.ReasonUpstreamsPaused)
+			} else if wait := q.refusal.RetryAfter; wait < pause || wait > 2*pause {
+				t.Errorf("Retry-After is %s, want the end of the pause and a little more", wait)
+			}
+		}
+		<-patient.done
+		if patient.refusal != nil || patient.after < pause || patient.after > pause+800*time.Millisecond {
+			t.Errorf("have refusal %v after %s, want an engine soon after the pause", patient.refusal, patient.after)
+		}
+	})
+}
+
+// TestNotAcceptedNamesReturn checks what a call is told that may not be sent again.
+func TestNotAcceptedNamesReturn(t *testing.T) {
+	a := newAssigner(1)
+	request := assigner.Request{Requirements: balancer.Requirements{Service: "s"}, Deadline: time.Now().Add(time.Minute)}
+	if refusal := a.NotAccepted(request); refusal.Reason != foxtailwharf.ReasonNoUpstream || refusal.RetryAfter != 0 {
+		t.Errorf("have %v, Retry-After %s, want %s and none", refusal, refusal.RetryAfter, foxtailwharf.ReasonNoUpstream)
+	}
+	a.HandleReply(engine(1), time.Now(), foxtailwharf.Reply{IsNotRun: true, Signals: foxtailwharf.Signals{RetryAfter: 10 * time.Second}})
+	if refusal := a.NotAccepted(request); refusal.Reason != foxtailwharf.ReasonUpstreamsPaused || refusal.RetryAfter < 9*time.Second {
+		t.Errorf("have %v, Retry-After %s, want %s and ten seconds", refusal, refusal.RetryAfter, foxtailwharf.ReasonUpstreamsPaused)
+	}
+}
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -41,6 +41,7 @@
 	hasAsks   bool                 // TakeAsks may have requests
 	// statements are what upstreams have said of themselves, by run.
 	statements map[run]*statement
+	pauses     map[run]*statement // those that have a pause
 }
 
 // release is a version of a service's weights and when it replaces older ones.
@@ -63,6 +64,7 @@
 		entries:   1,
 
 		statements: make(map[run]*statement),
+		pauses:     make(map[run]*statement),
 	}
 }
 
@@ -210,6 +212,9 @@
 	if u.limit != nil {
 		u.limit.usePermit(now)
 	}
+	if u.statement != nil {
+		u.statement.pause.countSent(now)
+	}
 	if tokens > 0 {
 		u.unreported = append(u.unreported, sentPrompt{at: now, tokens: tokens})
 	}
--- a/internal/request/balancer/limit.go
+++ b/internal/request/balancer/limit.go
@@ -212,7 +212,7 @@
 func (b *Balancer) IsLimited(now time.Time, req Requirements) (isLimited bool) {
 	p := picker{b: b, now: now, req: &req, oldestAllowed: b.oldestAllowed(now, req.Service)}
 	for _, u := range b.byService[req.Service] {
-		if !p.isEligible(u, u.reportAge(now)) {
+		if !p.isEligible(u, u.reportAge(now)) || !u.statement.pauseEnd(now).IsZero() {
 			continue
 		}
 		if u.limit == nil || !u.limit.retryAt.After(now) || u.limit.hasPermit(now) {
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -81,6 +81,7 @@
 	// limitedIn and limitedCost are the group and the cost that the best of the limited ones would have.
 	limitedIn   group
 	limitedCost float64
+	firstReturn time.Time // when the first of those that have a pause may get a call; zero for none
 }
 
 // HasCandidates reports whether an upstream of the service is eligible for the call, whatever its load.
@@ -119,6 +120,10 @@
 	if !p.isEligible(u, age) {
 		return
 	}
+	if end := u.statement.pauseEnd(p.now); !end.IsZero() {
+		p.firstReturn = earliest(p.firstReturn, end)
+		return
+	}
 	g := p.group(u, age)
 	if u.limit != nil && !u.limit.hasPermit(p.now) {
 		p.considerLimited(u, g, age)
--- a/internal/request/balancer/statement.go
+++ b/internal/request/balancer/statement.go
@@ -25,6 +25,7 @@
 // upstream is not listed, because a list may lack the upstream for a time.
 type statement struct {
 	isLeaving bool
+	pause     pause
 	at        time.Time // of the newest change
 }
 
@@ -37,6 +38,10 @@
 type Change struct {
 	HasLimit  bool // a limit, or its end
 	IsLeaving bool
+	// Pause is how long the upstream wants no calls; 0 if that is known or it does not say so.
+	Pause time.Duration
+	// IsReturning is true if more calls may be sent after a pause.
+	IsReturning bool
 }
 
 // HandleReply records what a response to a call that was sent to an upstream at a time says of the
@@ -48,8 +53,12 @@
 	if reply.IsLeaving {
 		c.IsLeaving = b.handleLeaving(now, sentTo)
 	}
+	if reply.RetryAfter > 0 {
+		c.Pause = b.handlePause(now, sentTo, reply.RetryAfter)
+	}
 	if u := b.state(sentTo); u != nil {
 		c.HasLimit = b.handleLimit(now, u, sentAt, reply)
+		c.IsReturning = u.statement != nil && reply.IsAuthentic && !reply.IsNotRun && u.statement.pause.countAnswer(sentAt)
 	}
 	return c
 }
@@ -91,6 +100,7 @@
 			}
 		}
 		delete(b.statements, oldest)
+		delete(b.pauses, oldest)
 	}
 }
 
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -134,6 +134,9 @@
 	if c.HasLimit {
 		a.log("upstream has changed its limit", zap.Bool("HasLimit", reply.HasLimit), zap.Float64("PerSecond", reply.Limit))
 	}
+	if c.Pause > 0 {
+		a.log("upstream wants no calls for a time", zap.Duration("RetryAfter", reply.RetryAfter), zap.Duration("Pause", c.Pause))
+	}
 	if c.IsLeaving {
 		a.log("upstream has said that it is leaving")
 	}
@@ -206,7 +209,7 @@
 // handleRejected handles an answer that says that the upstream did not run the call.
 func (a *attempt) handleRejected(answer *requester.Response, reply foxtailwharf.Reply) (outcome, balancer.Result) {
 	a.drain(answer)
-	a.log("upstream did not run the call", zap.Int("Status", answer.Status))
+	a.log("upstream did not run the call", zap.Int("Status", answer.Status), zap.Duration("RetryAfter", reply.RetryAfter))
 	if reply.IsMisdirected {
 		return notRun, balancer.Moved
 	}
--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -178,8 +178,10 @@
 	if b == nil {
 		return nil
 	}
-	for id := range b.excluded {
-		x.exclude(id)
+	for id, isExcluded := range b.excluded {
+		if isExcluded {
+			x.exclude(id)
+		}
 	}
 	// Until now it has kept the attempt at the other upstream from a search of its own.
 	x.progress.dropBackup()
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -127,10 +127,11 @@
 		case callerGone:
 			return
 		case notRun:
+			x.excludeRefused(a.upstream)
 		case unknown:
 			x.progress.setUnknown()
+			x.exclude(a.upstream.ID)
 		}
-		x.exclude(a.upstream.ID)
 		if taken = x.takeBackup(); taken != nil {
 			continue
 		}
@@ -188,6 +189,16 @@
 	return true
 }
 
+// excludeRefused excludes an upstream that did not run the call from its further attempts. One that wants no
+// calls for a time gets the call once more after it.
+func (x *exchange) excludeRefused(u foxtailwharf.Upstream) {
+	isPaused := x.f.c.Assigner.IsPaused(u)
+	x.progress.mu.Lock()
+	defer x.progress.mu.Unlock()
+	_, isSecond := x.excluded[u.ID]
+	x.excluded[u.ID] = isSecond || !isPaused
+}
+
 // release gives up the answers that are held in memory.
 func (x *exchange) release() {
 	for _, b := range x.held {
@@ -239,6 +250,7 @@
 		Arrived:   x.started,
 		StartBy:   x.started.Add(x.route.Goal - firstEventTime),
 		WaitUntil: waitUntil,
+		Deadline:  x.deadline,
 	}
 	if x.service.Engine == nil {
 		request.Requirements.ExtraSlots = plainQueueSlots
@@ -310,7 +322,7 @@
 	case refusal != nil:
 		x.refuse(refusal)
 	default:
-		x.refuse(foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "no upstream accepted the call"))
+		x.refuse(x.f.c.Assigner.NotAccepted(x.assignerRequest(x.progress.position(), x.excluded, x.waitUntil())))
 	}
 }
 
--- a/internal/request/forwarder/signals_test.go
+++ b/internal/request/forwarder/signals_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,3 +98,95 @@
 		}
 	})
 }
+
+// TestPausedGetsNoCalls guards against calls that reach an upstream within the time for which it wants none.
+func TestPausedGetsNoCalls(t *testing.T) {
+	const calls, interval = 100, 20 * time.Millisecond
+	busy := text(http.StatusServiceUnavailable, "busy")
+	tests := []struct {
+		name, path, retryAfter string
+		answer                 http.HandlerFunc
+		isPaused               bool
+	}{
+		{"refused", "/book/1", "2.5", refuse, true},
+		{"refused, a stream", "/chat/1", "3", refuse, true},
+		{"it may have run", "/look/1", "3", busy, true},
+		{"an hour", "/look/1", "3600", refuse, true},
+		{"negative", "/look/1", "-3", refuse, false},
+		{"no number", "/look/1", "soon", refuse, false},
+		{"not a number", "/look/1", "NaN", refuse, false},
+		{"endless", "/look/1", "inf", refuse, false},
+		{"a date", "/look/1", "Fri, 04 Dec 2026 22:00:00 GMT", refuse, false},
+		{"another status", "/look/1", "3", text(http.StatusInternalServerError, "bad"), false},
+		{"an answer to another call", "/look/1", "3", ofOtherCall(refuse), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				paused := &arrivals{answer: signaling(standin.HeaderRetryAfter, tt.retryAfter, tt.answer)}
+				b.upstream(2, paused.serve)
+				b.call(tt.path, nil)
+				sent := paused.count
+				b.upstream(3, events(1, 2, false))
+				var callers sync.WaitGroup
+				for range calls {
+					time.Sleep(interval)
+					callers.Go(func() { b.call("/chat/1", nil) })
+				}
+				callers.Wait()
+				if have := paused.count == sent; have != tt.isPaused {
+					t.Errorf("%d calls reach it, want none: %t", paused.count-sent, tt.isPaused)
+				}
+			})
+		})
+	}
+}
+
+// TestPauseOfAll checks that calls wait for a sole upstream that is back in time, and are refused at once by
+// one that is not, with the time of its return.
+func TestPauseOfAll(t *testing.T) {
+	tests := []struct {
+		name       string
+		retryAfter string
+		status     int
+	}{
+		{"back in time", "1.5", http.StatusOK},
+		{"back too late", "20", http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				said := time.Now()
+				isPaused := true
+				time.AfterFunc(1500*time.Millisecond, func() { isPaused = false })
+				b.upstream(2, func(w http.ResponseWriter, r *http.Request) {
+					if !isPaused {
+						text(http.StatusOK, "ok")(w, r)
+						return
+					}
+					w.Header().Set(standin.HeaderRetryAfter, tt.retryAfter)
+					refuse(w, r)
+				})
+				for n := range 2 {
+					a := b.call("/book/1", nil)
+					switch {
+					case a.status != tt.status:
+						t.Errorf("call %d: have %d, want %d", n, a.status, tt.status)
+						return
+					case tt.status != http.StatusOK:
+						checkPauseRefusal(t, a, b.ran(a), 1-n, time.Since(said))
+					}
+				}
+			})
+		})
+	}
+}
+
+// checkPauseRefusal checks the refusal of a call whose sole upstream wants nothing for 20 s.
+func checkPauseRefusal(t *testing.T, a answer, runs, wantRuns int, after time.Duration) {
+	t.Helper()
+	seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	if err != nil || seconds < 19 || seconds > 23 || runs != wantRuns || after > 100*time.Millisecond {
+		t.Errorf("Retry-After %g after %s and %d attempts, want about 20 at once after %d", seconds, after, runs, wantRuns)
+	}
+}
--- a/refusal.go
+++ b/refusal.go
@@ -21,6 +21,7 @@
 	ReasonCapExceeded      Reason = "CapExceeded"
 	ReasonQuarantined      Reason = "Quarantined"
 	ReasonNoUpstream       Reason = "NoUpstream"
+	ReasonUpstreamsPaused  Reason = "UpstreamsPaused"
 	ReasonLeaving          Reason = "Leaving"
 	ReasonNotReady         Reason = "NotReady"
 	ReasonWrongVersion     Reason = "WrongVersion"
--- a/standin/dialect.go
+++ b/standin/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,6 +28,7 @@
 	HeaderLastEventID    = "Last-Event-Id"
 	HeaderLimit          = "X-Limit" // calls a second
 	HeaderLeaving        = "X-Leaving"
+	HeaderRetryAfter     = "Retry-After" // seconds
 	versionPrefix        = "version: "
 )
 
@@ -87,6 +89,10 @@
 	var signals foxtailwharf.Signals
 	if header.Get(HeaderCall) == callID {
 		signals.IsLeaving = header.Get(HeaderLeaving) == "1"
+		seconds, err := strconv.ParseFloat(header.Get(HeaderRetryAfter), 64)
+		if err == nil && status == http.StatusServiceUnavailable && seconds > 0 && !math.IsInf(seconds, 0) {
+			signals.RetryAfter = time.Duration(seconds * float64(time.Second))
+		}
 	}
 	return foxtailwharf.Reply{
 		IsNotRun:      header.Get(HeaderNotRun) != "",
--- a/standin/simulator/harness_test.go
+++ b/standin/simulator/harness_test.go
@@ -40,6 +40,7 @@
 	lastID  int
 	runs    []startedCall
 	results map[string][]result // by route
+	entries map[string]string   // to which calls were sent, by call
 }
 
 // startedCall records that a call began to run on an engine.
@@ -63,7 +64,7 @@
 func run(t *testing.T, c simulator.Config, emptyEngines int, scenario func(h *harness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		h := &harness{t: t, results: make(map[string][]result)}
+		h := &harness{t: t, results: make(map[string][]result), entries: make(map[string]string)}
 		c.OnStart = func(call, _ string, weights int64) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -105,6 +106,7 @@
 	h.mu.Lock()
 	h.lastID++
 	id := fmt.Sprintf("%s-%d", route, h.lastID)
+	h.entries[id] = entry.Name
 	h.mu.Unlock()
 	res := result{sent: time.Now()}
 	r, err := simulator.NewRequest(h.t.Context(), entry.Callers(), route, id, key, promptTokens)
--- a/standin/simulator/limit_test.go
+++ b/standin/simulator/limit_test.go
@@ -20,12 +20,41 @@
 type arrivals struct {
 	mu sync.Mutex
 	at map[string][]time.Time // by engine
+	// calls are those of the times.
+	calls map[string][]string
 }
 
-func (a *arrivals) arrive(_, engine string) {
+func newArrivals() *arrivals {
+	return &arrivals{at: make(map[string][]time.Time), calls: make(map[string][]string)}
+}
+
+func (a *arrivals) arrive(call, engine string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.at[engine] = append(a.at[engine], time.Now())
+	a.calls[engine] = append(a.calls[engine], call)
+}
+
+// afterWord returns how many calls reach an engine in a time from entries whose calls have reached it there
+// over wordGrace before, and the most from one entry. entries are those of the calls.
+func (a *arrivals) afterWord(engine string, entries map[string]string, from, to time.Time) (count, most int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	first := make(map[string]time.Time)
+	counts := make(map[string]int)
+	for n, at := range a.at[engine] {
+		entry := entries[a.calls[engine][n]]
+		switch learned, isKnown := first[entry]; {
+		case at.Before(from) || !at.Before(to):
+		case !isKnown:
+			first[entry] = at
+		case at.Sub(learned) > wordGrace:
+			count++
+			counts[entry]++
+			most = max(most, counts[entry])
+		}
+	}
+	return count, most
 }
 
 // between returns how many calls have reached an engine in a time.
@@ -54,6 +83,9 @@
 	return most
 }
 
+// wordGrace is the time after an answer in which calls may still reach an engine that wants none.
+const wordGrace = 500 * time.Millisecond
+
 // limitTest is a load on a fleet in which some engines name a limit.
 type limitTest struct {
 	name            string
@@ -71,7 +103,7 @@
 const limitLength = 16 * time.Second
 
 func (tt limitTest) run(t *testing.T) {
-	arrived := &arrivals{at: make(map[string][]time.Time)}
+	arrived := newArrivals()
 	tt.config.OnArrive = arrived.arrive
 	run(t, tt.config, 0, func(h *harness) {
 		h.load("chat", tt.callsPerSecond, limitLength+2*time.Second, 100)
@@ -156,7 +188,7 @@
 
 // TestLimitIsLifted checks that an upstream gets as many calls as others once its answers name no limit.
 func TestLimitIsLifted(t *testing.T) {
-	arrived := &arrivals{at: make(map[string][]time.Time)}
+	arrived := newArrivals()
 	run(t, simulator.Config{Entries: 12, Engines: 6, Slots: 8, Events: 5, OnArrive: arrived.arrive}, 0, func(h *harness) {
 		h.load("chat", 60, 20*time.Second, 100)
 		time.Sleep(2 * time.Second)
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -65,6 +65,7 @@
 	isDown         bool
 	limit          string // calls a second that the responses name; empty for none
 	isLeaving      bool
+	pausedUntil    time.Time // until then the engine refuses all calls with a Retry-After
 	processContext context.Context
 	endProcess     context.CancelFunc
 }
@@ -97,7 +98,7 @@
 	time.AfterFunc(restartDelay, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.isDown, e.isLeaving, e.startedAt = false, false, time.Now()
+		e.isDown, e.isLeaving, e.pausedUntil, e.startedAt = false, false, time.Time{}, time.Now()
 		e.processContext, e.endProcess = context.WithCancel(context.Background())
 	})
 }
@@ -125,10 +126,20 @@
 	e.isLeaving = true
 }
 
+// Pause makes the engine refuse all calls for a time, and say so with HeaderRetryAfter.
+func (e *SlotEngine) Pause(length time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pausedUntil = time.Now().Add(length)
+}
+
 // writeSignals adds what the engine says of itself to the header of a response.
 func (e *SlotEngine) writeSignals(h http.Header) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if left := time.Until(e.pausedUntil); left > 0 {
+		h.Set(HeaderRetryAfter, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	}
 	if e.isLeaving {
 		h.Set(HeaderLeaving, "1")
 	}
@@ -206,7 +217,7 @@
 	switch {
 	case r.Header.Get(HeaderExpectUpstream) != e.c.ID || (wantedVersion != 0 && wantedVersion != e.weights):
 		return nil, http.StatusMisdirectedRequest
-	case e.isDown || e.weights == 0 || e.loading != 0 || len(e.queue) >= maxQueued:
+	case time.Now().Before(e.pausedUntil) || e.isDown || e.weights == 0 || e.loading != 0 || len(e.queue) >= maxQueued:
 		return nil, http.StatusServiceUnavailable
 	}
 	start = make(chan struct{})
