Balancer: the limit of an upstream is kept while the list lacks it

What callers saw: nothing. An upstream that vanished from the list and came back in the same run got calls without permits until the next answer named its limit again.

Cause: the limit belonged to the listed upstream, which starts without state.

Evidence, before: TestLimitKnowledge/not_listed_for_a_time: "the upstream is limited: false, want true".

Change: the limit is part of the statement of a run, beside leaving and pause. Each listed upstream has a statement; empty ones of others are dropped with each list. HandlePermit looks up the run that was asked for.

--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -153,7 +153,7 @@
 			u = &upstream{}
 		}
 		u.Upstream = listed
-		u.statement = b.statements[runOf(u.current())]
+		u.statement = b.statementOf(u.current())
 		u.isReporting = b.reporting == nil || b.reporting[listed.ID]
 		u.isReplaced = false
 		byID[listed.ID] = u
@@ -191,7 +191,7 @@
 	isOtherRun := !load.Born.Equal(u.load.Born)
 	u.load = load
 	if isOtherRun {
-		u.statement = b.statements[runOf(u.current())]
+		u.statement = b.statementOf(u.current())
 	}
 	u.reportedAt = now
 	u.othersInFlight = max(float64(load.Running+load.Queued-u.ownInFlight), 0)
@@ -212,9 +212,7 @@
 	if u.limit != nil {
 		u.limit.usePermit(now)
 	}
-	if u.statement != nil {
-		u.statement.pause.countSent(now)
-	}
+	u.pause.countSent(now)
 	if tokens > 0 {
 		u.unreported = append(u.unreported, sentPrompt{at: now, tokens: tokens})
 	}
@@ -291,7 +289,7 @@
 // silent for a while, or take no new connections, and still answer the calls that it has.
 func (b *Balancer) IsSuspect(now time.Time, id string) bool {
 	u := b.byID[id]
-	return u != nil && u.reportAge(now) <= loadLifetime && u.load.IsDown && !u.IsDraining && !u.statement.leaves()
+	return u != nil && u.reportAge(now) <= loadLifetime && u.load.IsDown && !u.IsDraining && !u.isLeaving
 }
 
 // IsLost reports whether an upstream has ended or is a suspect. Together with a broken connection this tells
--- a/internal/request/balancer/limit.go
+++ b/internal/request/balancer/limit.go
@@ -69,14 +69,17 @@
 
 // handleLimit records whether a response to a call that was sent at a time names a limit. It reports
 // whether this entry knew otherwise.
-func (b *Balancer) handleLimit(now time.Time, u *upstream, sentAt time.Time, reply foxtailwharf.Reply) (isNew bool) {
+func (b *Balancer) handleLimit(now time.Time, sentTo foxtailwharf.Upstream, sentAt time.Time, reply foxtailwharf.Reply) (isNew bool) {
+	s := b.statementOf(sentTo)
 	switch {
 	case reply.HasLimit && (reply.IsAuthentic || reply.IsNotRun):
-		return b.name(now, u, reply.Limit, now, true)
-	case !reply.HasLimit && reply.IsAuthentic && !reply.IsNotRun && u.limit != nil && sentAt.After(u.limit.learnedAt):
-		b.lifted = append(b.lifted, liftedLimit{upstream: u.Upstream, at: now})
-		u.limit = nil
-		b.announceAsks()
+		return b.name(now, s, reply.Limit, now, true)
+	case !reply.HasLimit && reply.IsAuthentic && !reply.IsNotRun && s.limit != nil && sentAt.After(s.limit.learnedAt):
+		s.limit = nil
+		if u := b.byID[sentTo.ID]; u != nil && u.statement == s {
+			b.lifted = append(b.lifted, liftedLimit{upstream: u.Upstream, at: now})
+			b.announceAsks()
+		}
 		return true
 	default:
 		return false
@@ -90,12 +93,12 @@
 }
 
 // name sets the limit of an upstream. It reports whether the limit has changed.
-func (b *Balancer) name(now time.Time, u *upstream, perSecond float64, namedAt time.Time, isUntold bool) (isNew bool) {
-	if u.limit == nil {
-		u.limit = &limit{learnedAt: now}
+func (b *Balancer) name(now time.Time, s *statement, perSecond float64, namedAt time.Time, isUntold bool) (isNew bool) {
+	if s.limit == nil {
+		s.limit = &limit{learnedAt: now}
 		isNew = true
 	}
-	l := u.limit
+	l := s.limit
 	if namedAt.Before(l.namedAt) {
 		return false
 	}
@@ -117,7 +120,7 @@
 	}
 	at := now.Add(-named.Age)
 	if !named.IsLifted {
-		return b.name(now, u, named.PerSecond, at, false)
+		return b.name(now, u.statement, named.PerSecond, at, false)
 	}
 	if u.limit == nil || at.Before(u.limit.namedAt) {
 		return false
@@ -148,25 +151,25 @@
 			IsWanted: l.isWanted, Within: l.within(), Unused: l.unused,
 		}
 		l.isAsking, l.isWanted, l.isPatient, l.isUntold, l.unused = true, false, false, false, 0
-		asks = append(asks, Ask{Upstream: u.Upstream, Request: request})
+		asks = append(asks, Ask{Upstream: u.current(), Request: request})
 	}
 	return asks
 }
 
 // HandlePermit records the answer to a request. A granted permit has to be valid from now on.
 func (b *Balancer) HandlePermit(now time.Time, asked foxtailwharf.Upstream, p foxtailwharf.Permit) {
-	u := b.byID[asked.ID]
-	if u == nil || u.limit == nil || !u.Born.Equal(asked.Born) {
+	s := b.statements[runOf(asked)]
+	if s == nil || s.limit == nil {
 		return
 	}
-	l := u.limit
+	l := s.limit
 	l.isAsking, l.isWanted, l.isPatient = false, false, false
 	if l.isUntold {
 		b.announceAsks()
 	}
 	switch {
 	case p.IsLifted:
-		u.limit = nil
+		s.limit = nil
 	case p.IsGranted:
 		l.permits = append(l.permits, now.Add(foxtailwharf.PermitLife))
 	case p.RetryIn > 0:
@@ -212,7 +215,7 @@
 func (b *Balancer) IsLimited(now time.Time, req Requirements) (isLimited bool) {
 	p := picker{b: b, now: now, req: &req, oldestAllowed: b.oldestAllowed(now, req.Service)}
 	for _, u := range b.byService[req.Service] {
-		if !p.isEligible(u, u.reportAge(now)) || !u.statement.pauseEnd(now).IsZero() {
+		if !p.isEligible(u, u.reportAge(now)) || !u.pause.end(now).IsZero() {
 			continue
 		}
 		if u.limit == nil || !u.limit.retryAt.After(now) || u.limit.hasPermit(now) {
--- a/internal/request/balancer/limit_test.go
+++ b/internal/request/balancer/limit_test.go
@@ -136,6 +136,18 @@
 			b.LearnLimit(start, announced)
 			b.LearnLimit(later, old)
 		}, true},
+		{"not listed for a time", func(b *balancer.Balancer) {
+			b.HandleReply(start, one, start, naming)
+			b.Set(nil)
+			b.Set([]foxtailwharf.Upstream{one})
+		}, true},
+		{"a permit while it is not listed", func(b *balancer.Balancer) {
+			b.HandleReply(start, one, start, naming)
+			b.TakeAsks(start)
+			b.Set(nil)
+			b.HandlePermit(later, one, foxtailwharf.Permit{IsGranted: true})
+			b.Set([]foxtailwharf.Upstream{one})
+		}, false},
 		{"the answer to a request", func(b *balancer.Balancer) {
 			b.LearnLimit(start, announced)
 			b.HandlePermit(start, one, foxtailwharf.Permit{IsLifted: true})
--- a/internal/request/balancer/pause.go
+++ b/internal/request/balancer/pause.go
@@ -69,14 +69,6 @@
 	return true
 }
 
-// pauseEnd returns when the next call may be sent to an upstream by what it has said; zero for at once.
-func (s *statement) pauseEnd(now time.Time) time.Time {
-	if s == nil {
-		return time.Time{}
-	}
-	return s.pause.end(now)
-}
-
 // handlePause records that a run wants no calls for a time. The latest end counts: a shorter time in a
 // later response takes back no earlier one. It returns the length of the pause if it was not known.
 func (b *Balancer) handlePause(now time.Time, sentTo foxtailwharf.Upstream, retryAfter time.Duration) time.Duration {
@@ -92,7 +84,6 @@
 		return 0
 	}
 	spread := min(max(time.Duration(returnFraction*float64(length)), minReturnSpread), maxReturnSpread)
-	s.at = now
 	s.pause = pause{said: said, until: said.Add(b.randomPart(spread)), allowed: 1}
 	b.pauses[runOf(sentTo)] = s
 	return length
@@ -106,7 +97,7 @@
 // Paused returns the number of listed upstreams that want no calls at present.
 func (b *Balancer) Paused(now time.Time) (count int) {
 	for _, u := range b.byID {
-		if u.statement != nil && now.Before(u.statement.pause.until) {
+		if now.Before(u.pause.until) {
 			count++
 		}
 	}
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -120,7 +120,7 @@
 	if !p.isEligible(u, age) {
 		return
 	}
-	if end := u.statement.pauseEnd(p.now); !end.IsZero() {
+	if end := u.pause.end(p.now); !end.IsZero() {
 		p.firstReturn = earliest(p.firstReturn, end)
 		return
 	}
@@ -262,7 +262,7 @@
 
 // isEligible reports whether the upstream may get the call at all, regardless of its load.
 func (p *picker) isEligible(u *upstream, age time.Duration) bool {
-	if u.IsDraining || u.isReplaced || u.statement.leaves() || p.req.Exclude[u.ID] {
+	if u.IsDraining || u.isReplaced || u.isLeaving || p.req.Exclude[u.ID] {
 		return false
 	}
 	if p.req.NeedsWeights && !p.hasAllowedWeights(u, age) {
--- a/internal/request/balancer/statement.go
+++ b/internal/request/balancer/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -21,17 +22,17 @@
 	return run{id: u.ID, address: u.Address, bornMillis: u.Born.UnixMilli()}
 }
 
-// statement is what a run of an upstream has said of itself to this entry. It is kept while the
-// upstream is not listed, because a list may lack the upstream for a time.
+// statement is what a run of an upstream has said of itself. It is kept while the upstream is not
+// listed, because a list may lack the upstream for a time.
 type statement struct {
-	isLeaving bool
+	isLeaving bool // to this entry
 	pause     pause
+	limit     *limit    // for all entries; nil for none
 	at        time.Time // of the newest change
 }
 
-// leaves reports whether a statement, which may be nil, says that the upstream is leaving.
-func (s *statement) leaves() bool {
-	return s != nil && s.isLeaving
+func (s *statement) isEmpty() bool {
+	return !s.isLeaving && s.pause.said.IsZero() && s.limit == nil
 }
 
 // Change is what this entry did not know of an upstream before a response.
@@ -50,88 +51,74 @@
 	if reply.IsMisdirected {
 		return c
 	}
+	s := b.statementOf(sentTo)
 	if reply.IsLeaving {
-		c.IsLeaving = b.handleLeaving(now, sentTo)
+		c.IsLeaving = !s.isLeaving
+		s.isLeaving = true // final for the run
 	}
 	if reply.RetryAfter > 0 {
 		c.Pause = b.handlePause(now, sentTo, reply.RetryAfter)
 	}
-	if u := b.state(sentTo); u != nil {
-		c.HasLimit = b.handleLimit(now, u, sentAt, reply)
-		c.IsReturning = u.statement != nil && reply.IsAuthentic && !reply.IsNotRun && u.statement.pause.countAnswer(sentAt)
+	c.HasLimit = b.handleLimit(now, sentTo, sentAt, reply)
+	c.IsReturning = reply.IsAuthentic && !reply.IsNotRun && s.pause.countAnswer(sentAt)
+	if c != (Change{}) {
+		s.at = now
 	}
 	return c
 }
 
-// state returns the state of the run of an upstream to which a call was sent; nil if that run is no
-// longer listed.
-func (b *Balancer) state(sentTo foxtailwharf.Upstream) *upstream {
-	u := b.byID[sentTo.ID]
-	if u == nil || runOf(u.current()) != runOf(sentTo) {
-		return nil
-	}
-	return u
-}
-
 // statementOf returns the statement of a run, which it adds if there is none.
-func (b *Balancer) statementOf(sentTo foxtailwharf.Upstream) *statement {
-	r := runOf(sentTo)
+func (b *Balancer) statementOf(u foxtailwharf.Upstream) *statement {
+	r := runOf(u)
 	s := b.statements[r]
 	if s == nil {
 		s = &statement{}
 		b.statements[r] = s
 	}
-	if u := b.state(sentTo); u != nil {
-		u.statement = s
-	}
 	return s
 }
 
-// forgetStatements drops the oldest statements of upstreams that are not listed if they are too many.
+// forgetStatements drops empty statements of upstreams that are not listed, and the oldest of the others if
+// they are too many.
 func (b *Balancer) forgetStatements() {
-	for len(b.statements) > len(b.byID)+maxStatements {
-		var oldest run
-		var found *statement
-		for r, s := range b.statements {
-			u := b.byID[r.id]
-			isListed := u != nil && u.statement == s
-			if !isListed && (found == nil || s.at.Before(found.at)) {
-				oldest, found = r, s
-			}
+	var unlisted []run
+	for r, s := range b.statements {
+		if u := b.byID[r.id]; u != nil && u.statement == s {
+			continue
+		}
+		if s.isEmpty() {
+			delete(b.statements, r)
+			continue
 		}
-		delete(b.statements, oldest)
-		delete(b.pauses, oldest)
+		unlisted = append(unlisted, r)
+	}
+	if len(unlisted) <= maxStatements {
+		return
+	}
+	slices.SortFunc(unlisted, func(x, y run) int { return b.statements[x].at.Compare(b.statements[y].at) })
+	for _, r := range unlisted[:len(unlisted)-maxStatements] {
+		delete(b.statements, r)
+		delete(b.pauses, r)
 	}
 }
 
 // Leaving returns the number of listed upstreams that have said that they are leaving.
 func (b *Balancer) Leaving() (count int) {
 	for _, u := range b.byID {
-		if u.statement.leaves() {
+		if u.isLeaving {
 			count++
 		}
 	}
 	return count
 }
 
-// handleLeaving records that a run is leaving. This is final for the run. It reports whether it was
-// not known.
-func (b *Balancer) handleLeaving(now time.Time, sentTo foxtailwharf.Upstream) (isNew bool) {
-	s := b.statementOf(sentTo)
-	if s.isLeaving {
-		return false
-	}
-	s.isLeaving, s.at = true, now
-	return true
-}
-
 // AreLeaving reports whether all upstreams of a service have said that they are leaving, or are listed
 // as draining.
 func (b *Balancer) AreLeaving(service string) bool {
 	isLeaving := false
 	for _, u := range b.byService[service] {
 		switch {
-		case u.statement.leaves():
+		case u.isLeaving:
 			isLeaving = true
 		case !u.IsDraining && !u.isReplaced:
 			return false
--- a/internal/request/balancer/upstream.go
+++ b/internal/request/balancer/upstream.go
@@ -34,6 +34,7 @@
 // upstream is an instance with its estimated load.
 type upstream struct {
 	foxtailwharf.Upstream
+	*statement             // of its present run; never nil
 	ownInFlight       int  // calls of this entry
 	isReporting       bool // its agent reports to this entry
 	isReplaced        bool // a younger upstream is listed at its address
@@ -47,8 +48,6 @@
 	ejections         int
 	ejectedUntil      time.Time
 	fullUntil         time.Time
-	limit             *limit     // that it has named; nil for none
-	statement         *statement // nil for none
 }
 
 // current returns the upstream with the start of its present run. The agent may report a restart before
