Root: what an upstream says of itself is one value, Signals

Weights, limit, leaving and Retry-After of a response are read by one function of a dialect and applied by Balancer.HandleReply. Tests name the fields by their new place.

--- a/call.go
+++ b/call.go
@@ -50,11 +50,6 @@
 	IsMisdirected bool
 	// IsAuthentic is true if the response has a signature of the upstream.
 	IsAuthentic bool
-	Weights     int64 // version of the weights that answered; 0 if the header has none
-	// HasLimit is true if the upstream names a limit: the calls a second that it takes from all
-	// processes together, for as long as its responses say so.
-	HasLimit bool
-	Limit    float64
 	// Signals are empty if the response does not have the ID of the call.
 	Signals
 }
--- a/internal/request/assigner/assigner_test.go
+++ b/internal/request/assigner/assigner_test.go
@@ -138,7 +138,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		a := newAssigner(1)
 		report(a, 1, 0)
-		a.HandleReply(engine(1), time.Now(), foxtailwharf.Reply{IsAuthentic: true, HasLimit: true, Limit: 1})
+		a.HandleReply(engine(1), time.Now(), foxtailwharf.Reply{IsAuthentic: true, Signals: foxtailwharf.Signals{HasLimit: true, Limit: 1}})
 		asked := time.Now()
 		first := acquire(t.Context(), a, queuer.Rank{}, 3*time.Second)
 		time.Sleep(100 * time.Millisecond)
--- a/internal/request/balancer/limit_test.go
+++ b/internal/request/balancer/limit_test.go
@@ -9,7 +9,7 @@
 )
 
 var (
-	naming   = foxtailwharf.Reply{IsAuthentic: true, HasLimit: true, Limit: 1}
+	naming   = foxtailwharf.Reply{IsAuthentic: true, Signals: foxtailwharf.Signals{HasLimit: true, Limit: 1}}
 	silent   = foxtailwharf.Reply{IsAuthentic: true}
 	rejected = foxtailwharf.Reply{IsNotRun: true}
 	plain    = balancer.Requirements{Service: "s"}
@@ -109,10 +109,10 @@
 	}{
 		{"a response", func(b *balancer.Balancer) { b.HandleReply(start, one, start, naming) }, true},
 		{"a rejection with a limit", func(b *balancer.Balancer) {
-			b.HandleReply(start, one, start, foxtailwharf.Reply{IsNotRun: true, HasLimit: true, Limit: 1})
+			b.HandleReply(start, one, start, foxtailwharf.Reply{IsNotRun: true, Signals: foxtailwharf.Signals{HasLimit: true, Limit: 1}})
 		}, true},
 		{"a response of another upstream at the address", func(b *balancer.Balancer) {
-			b.HandleReply(start, one, start, foxtailwharf.Reply{IsNotRun: true, IsMisdirected: true, HasLimit: true, Limit: 1})
+			b.HandleReply(start, one, start, foxtailwharf.Reply{IsNotRun: true, IsMisdirected: true, Signals: foxtailwharf.Signals{HasLimit: true, Limit: 1}})
 		}, false},
 		{"an announcement", func(b *balancer.Balancer) { b.LearnLimit(start, announced) }, true},
 		{"an announcement for a later run", func(b *balancer.Balancer) { b.LearnLimit(start, restarted) }, false},
--- a/standin/dialect.go
+++ b/standin/dialect.go
@@ -85,24 +85,25 @@
 	if header.Get(HeaderCall) != callID {
 		return foxtailwharf.Reply{}
 	}
-	limit, err := strconv.ParseFloat(header.Get(HeaderLimit), 64)
-	var signals foxtailwharf.Signals
-	if header.Get(HeaderCall) == callID {
-		signals.IsLeaving = header.Get(HeaderLeaving) == "1"
-		seconds, err := strconv.ParseFloat(header.Get(HeaderRetryAfter), 64)
-		if err == nil && status == http.StatusServiceUnavailable && seconds > 0 && !math.IsInf(seconds, 0) {
-			signals.RetryAfter = time.Duration(seconds * float64(time.Second))
-		}
-	}
 	return foxtailwharf.Reply{
 		IsNotRun:      header.Get(HeaderNotRun) != "",
 		IsMisdirected: status == http.StatusMisdirectedRequest,
 		IsAuthentic:   header.Get(HeaderSigned) != "",
-		Weights:       int64(intOrZero(header.Get(HeaderVersion))),
-		HasLimit:      err == nil,
-		Limit:         limit,
-		Signals:       signals,
+		Signals:       readSignals(status, header),
+	}
+}
+
+// readSignals reads what an upstream says of itself.
+func readSignals(status int, header http.Header) foxtailwharf.Signals {
+	limit, err := strconv.ParseFloat(header.Get(HeaderLimit), 64)
+	s := foxtailwharf.Signals{
+		Weights: int64(intOrZero(header.Get(HeaderVersion))), HasLimit: err == nil, Limit: limit, IsLeaving: header.Get(HeaderLeaving) == "1",
+	}
+	seconds, err := strconv.ParseFloat(header.Get(HeaderRetryAfter), 64)
+	if err == nil && status == http.StatusServiceUnavailable && seconds > 0 && !math.IsInf(seconds, 0) {
+		s.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
+	return s
 }
 
 // AnswerHeader returns the header of the response to the caller.
