Forwarder: tests of signals count arrivals without races

The counters of the upstreams of TestPausedGetsNoCalls and TestLeavingGetsNoCalls were read beside the upstreams that count; go test -race reported it. What they check is the same.

--- a/internal/request/forwarder/signals_test.go
+++ b/internal/request/forwarder/signals_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,12 +30,12 @@
 
 // arrivals counts the calls that reach an upstream.
 type arrivals struct {
-	count  int
+	count  atomic.Int64
 	answer http.HandlerFunc
 }
 
 func (a *arrivals) serve(w http.ResponseWriter, r *http.Request) {
-	a.count++
+	a.count.Add(1)
 	a.answer(w, r)
 }
 
@@ -66,15 +67,15 @@
 				leaving := &arrivals{answer: signaling(standin.HeaderLeaving, "1", tt.answer)}
 				b.upstream(2, leaving.serve)
 				b.call(tt.path, nil)
-				sent := leaving.count
+				sent := leaving.count.Load()
 				b.upstream(3, events(1, 5, false))
 				b.update() // as a list that shows it as ready
 				time.Sleep(3 * time.Second)
 				for range 20 {
 					b.call("/chat/1", nil)
 				}
-				if have := leaving.count > sent; have == tt.isLeaving {
-					t.Errorf("%d calls reach it after its word, want none: %t", leaving.count-sent, tt.isLeaving)
+				if have := leaving.count.Load() > sent; have == tt.isLeaving {
+					t.Errorf("%d calls reach it after its word, want none: %t", leaving.count.Load()-sent, tt.isLeaving)
 				}
 			})
 		})
@@ -126,7 +127,7 @@
 				paused := &arrivals{answer: signaling(standin.HeaderRetryAfter, tt.retryAfter, tt.answer)}
 				b.upstream(2, paused.serve)
 				b.call(tt.path, nil)
-				sent := paused.count
+				sent := paused.count.Load()
 				b.upstream(3, events(1, 2, false))
 				var callers sync.WaitGroup
 				for range calls {
@@ -134,8 +135,8 @@
 					callers.Go(func() { b.call("/chat/1", nil) })
 				}
 				callers.Wait()
-				if have := paused.count == sent; have != tt.isPaused {
-					t.Errorf("%d calls reach it, want none: %t", paused.count-sent, tt.isPaused)
+				if have := paused.count.Load() == sent; have != tt.isPaused {
+					t.Errorf("%d calls reach it, want none: %t", paused.count.Load()-sent, tt.isPaused)
 				}
 			})
 		})
@@ -157,10 +158,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			run(t, func(b *bench) {
 				said := time.Now()
-				isPaused := true
-				time.AfterFunc(1500*time.Millisecond, func() { isPaused = false })
+				end := said.Add(1500 * time.Millisecond)
 				b.upstream(2, func(w http.ResponseWriter, r *http.Request) {
-					if !isPaused {
+					if !time.Now().Before(end) {
 						text(http.StatusOK, "ok")(w, r)
 						return
 					}
