A second silent upstream leaves time for a third one

What callers saw: 504 at the deadline on routes with three attempts, where a third upstream would answer. Cause: a search watched the upstream that it had sent the call to by no timer. Evidence: TestThirdIsSoughtWhenSecondIsSilent and TestThirdIsSoughtWhenTwoAreSilent failed in every run: 504. Change: the attempt of a search is given up after the same silence as any other one of a call that may be repeated; the search goes on, or the call does, if the first attempt has ended. Measured: both pass, with the other tests of silences under the race detector.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -40,8 +40,8 @@
 	x          *exchange
 	upstream   foxtailwharf.Upstream
 	from       position
-	parent     context.Context // of the call; set by send
-	ctx        context.Context // of the attempt; set by send
+	parent     context.Context // of the call; set by start
+	ctx        context.Context // of the attempt; set by start
 	cancel     context.CancelCauseFunc
 	answer     *requester.Response // nil until the head of the answer was read
 	reply      foxtailwharf.Reply
@@ -60,11 +60,14 @@
 // run makes the attempt, or goes on with it if it has begun to be answered. It returns the outcome for the
 // call and the result for the upstream.
 func (a *attempt) run(ctx context.Context) (outcome, balancer.Result) {
-	// The timer is started only once the field that handleSilence uses is set.
+	if a.answer == nil {
+		a.start(ctx)
+	}
+	// The timer is started only once the fields that handleSilence uses are set.
 	a.stallTimer = time.AfterFunc(time.Hour, func() { a.handleSilence(ctx) })
 	a.stallTimer.Reset(a.firstEventLimit())
 	if a.answer == nil {
-		if o, result, isAnswered := a.send(ctx); !isAnswered {
+		if o, result, isAnswered := a.send(); !isAnswered {
 			return o, result
 		}
 	}
@@ -74,14 +77,18 @@
 	return a.forwardBuffered(a.ctx)
 }
 
-// send sends the call and reads the head of the answer. If the upstream answers the call, the outcome and
-// the result are open.
-func (a *attempt) send(ctx context.Context) (o outcome, result balancer.Result, isAnswered bool) {
+// start sets up the context of the attempt within that of the call, and the checks of the upstream.
+func (a *attempt) start(ctx context.Context) {
 	a.parent = ctx
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	// The timer is started only once the field that checkUpstream uses is set.
 	a.checkTimer = time.AfterFunc(time.Hour, a.checkUpstream)
 	a.checkTimer.Reset(upstreamCheckInterval)
+}
+
+// send sends the call and reads the head of the answer. If the upstream answers the call, the outcome and
+// the result are open.
+func (a *attempt) send() (o outcome, result balancer.Result, isAnswered bool) {
 	if a.x.service.Engine != nil {
 		a.x.f.c.NotifyAgent(a.upstream, a.x.call.PromptTokens)
 	}
--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -101,7 +101,11 @@
 func (b *backup) send(ctx context.Context, a *attempt) bool {
 	b.x.f.c.Meter.Increment(meter.CounterRetried)
 	b.excluded[a.upstream.ID] = true
-	o, result, isAnswered := a.send(ctx)
+	a.start(ctx)
+	// The other upstream may be silent as well, and the call may be allowed a third one.
+	giveUp := time.AfterFunc(a.firstEventLimit()+patience, func() { a.cancel(errSilent) })
+	defer giveUp.Stop()
+	o, result, isAnswered := a.send()
 	if isAnswered {
 		// A head alone shows no more than that the upstream has the call: it may be as silent as the first one.
 		if err := a.answer.AwaitBody(); err != nil {
