Discarder: the end of a body is read under the lock that Leave writes it under

Found by reading: a stop in the very moment in which a caller that expects "100 Continue" is awaited raced with the first deadline. The new case was not run before it.

--- a/internal/connection/discarder/discarder.go
+++ b/internal/connection/discarder/discarder.go
@@ -54,7 +54,7 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	controller *http.ResponseController
-	until      time.Time
+	until      time.Time // guarded by the discarder's mutex
 }
 
 // New returns a discarder.
@@ -142,7 +142,10 @@
 
 // awaitBody waits for the first byte of the body. net/http sends no "100 Continue" after an answer.
 func (d *Discarder) awaitBody(s *rest, body io.Reader) error {
-	if err := s.controller.SetReadDeadline(earlier(time.Now().Add(continueTimeout), s.until)); err != nil {
+	d.mu.Lock()
+	err := s.controller.SetReadDeadline(earlier(time.Now().Add(continueTimeout), s.until))
+	d.mu.Unlock()
+	if err != nil {
 		return err
 	}
 	if _, err := io.CopyN(io.Discard, body, 1); err != nil && !errors.Is(err, io.EOF) {
--- a/internal/connection/discarder/discarder_test.go
+++ b/internal/connection/discarder/discarder_test.go
@@ -98,6 +98,7 @@
 		{"shutdown during the body", "Transfer-Encoding: chunked", chunk, time.Second, 5 * time.Second, 7 * time.Second},
 		{"shutdown before", "Content-Length: 100000", "x", time.Second, 0, 2 * time.Second},
 		{"a caller that waits to be told to continue", "Expect: 100-continue\r\nContent-Length: 100000", "x", time.Hour, timeout, time.Second},
+		{"shutdown before the body", "Expect: 100-continue\r\nContent-Length: 100000", "x", 900 * time.Millisecond, 500 * time.Millisecond, 2500 * time.Millisecond},
 		{"a caller that does not wait for it", "Expect: 100-continue\r\nContent-Length: 100000", "x", 900 * time.Millisecond, timeout, timeout},
 	}
 	for _, tt := range tests {
