Simulator: engines that are silent, also towards their agents

TestSilentEnginesKeepTheirCalls has all engines fall silent for 0.9 s. Tried and not taken: an agent that reports a silent engine as down only after three seconds. Entries no longer end calls for its report, and without it new calls would go to an engine that may be dead.

--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -63,6 +63,7 @@
 	running        int
 	queue          []*queuedCall
 	isDown         bool
+	silentUntil    time.Time
 	limit          string // calls a second that the responses name; empty for none
 	isLeaving      bool
 	pausedUntil    time.Time // until then the engine refuses all calls with a Retry-After
@@ -263,6 +264,9 @@
 		case <-ctx.Done():
 			panic(http.ErrAbortHandler)
 		}
+		if e.awaitSpeech(r.Context()) != nil {
+			return
+		}
 		if e.crashes(r) {
 			e.Crash(e.c.CrashRestart, false)
 			panic(http.ErrAbortHandler)
@@ -288,7 +292,10 @@
 }
 
 // State returns the state of the engine. It fails with ErrEngineDown while the engine is down.
-func (e *SlotEngine) State(context.Context, string) (foxtailwharf.EngineState, error) {
+func (e *SlotEngine) State(ctx context.Context, _ string) (foxtailwharf.EngineState, error) {
+	if err := e.awaitSpeech(ctx); err != nil {
+		return foxtailwharf.EngineState{}, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.isDown {
