--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -30,18 +30,17 @@
 
 // Balancer holds what one entry knows of the upstreams. It is not safe for concurrent use.
 type Balancer struct {
-	c         Config
-	byID      map[string]*upstream
-	byService map[string][]*upstream
-	byMachine map[netip.Addr]*upstream
-	releases  map[string][]release // by service, in ascending order of version
-	entries   int                  // that share the upstreams, this one included
-	reporting map[string]bool      // engines whose agents report here, by ID; nil for all
-	lifted    []liftedLimit        // for TakeAsks
-	hasAsks   bool                 // TakeAsks may have requests
-	// statements are what upstreams have said of themselves, by run.
-	statements map[run]*statement
-	pauses     map[run]*statement // those that have a pause
+	c          Config
+	byID       map[string]*upstream
+	byService  map[string][]*upstream
+	byMachine  map[netip.Addr]*upstream
+	releases   map[string][]release // by service, in ascending order of version
+	entries    int                  // that share the upstreams, this one included
+	reporting  map[string]bool      // engines whose agents report here, by ID; nil for all
+	lifted     []liftedLimit        // for TakeAsks
+	hasAsks    bool                 // TakeAsks may have requests
+	statements map[run]*statement   // of all listed upstreams, and of others that have said something
+	pauses     map[run]*statement   // those that have a pause
 }
 
 // release is a version of a service's weights and when it replaces older ones.
@@ -56,13 +55,12 @@
 // New returns a balancer without upstreams.
 func New(c Config) *Balancer {
 	return &Balancer{
-		c:         c,
-		byID:      make(map[string]*upstream),
-		byService: make(map[string][]*upstream),
-		byMachine: make(map[netip.Addr]*upstream),
-		releases:  make(map[string][]release),
-		entries:   1,
-
+		c:          c,
+		byID:       make(map[string]*upstream),
+		byService:  make(map[string][]*upstream),
+		byMachine:  make(map[netip.Addr]*upstream),
+		releases:   make(map[string][]release),
+		entries:    1,
 		statements: make(map[run]*statement),
 		pauses:     make(map[run]*statement),
 	}
