A stream that flows is not moved when its engine is reported down

What callers saw: streams went on at another upstream, mid-way, though their own one sent events; each such call ran twice. Cause: an agent's report that its engine does not answer it began a search whatever the engine sent to its callers. The other upstream's first event often came before the next one of the first. Evidence: TestStreamFlowsThoughEngineIsReportedDown failed: 20 events of 2 runs, want 20 of one run. Change: such a report begins a search once the call has been silent for 0.3 s as well. TestCallerLeavesDuringSearch is new and passed before: both upstreams stop within 0.1 s. Measured: passes; TestEngineDownIsReplacedSoon still has the other answer within 0.5 s.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -48,8 +48,9 @@
 	stallTimer *time.Timer
 	checkTimer *time.Timer
 	isDone     atomic.Bool
-	isSuspect  atomic.Bool // has been silent for so long that another upstream is sought
-	hasEvent   atomic.Bool // an event was received
+	isSuspect  atomic.Bool  // has been silent for so long that another upstream is sought
+	hasEvent   atomic.Bool  // an event was received
+	heardAt    atomic.Int64 // when the call was sent or the last event with data received, in Unix nanoseconds
 }
 
 // newAttempt returns an attempt at an upstream that the assigner has counted. It has to be ended with end.
@@ -94,6 +95,7 @@
 	}
 	a.x.progress.startRun()
 	sentAt := time.Now()
+	a.heardAt.Store(sentAt.UnixNano())
 	answer, err := a.x.f.c.Requester.Do(a.ctx, a.request())
 	if err != nil {
 		o, result = a.handleSendError(a.ctx, err)
--- a/internal/request/forwarder/search_test.go
+++ b/internal/request/forwarder/search_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -181,3 +182,49 @@
 		}
 	})
 }
+
+// TestStreamFlowsThoughEngineIsReportedDown guards against a stream that is moved to another upstream while its
+// own one sends events, because the agent there gets no answer.
+func TestStreamFlowsThoughEngineIsReportedDown(t *testing.T) {
+	run(t, func(b *bench) {
+		flow := func(w http.ResponseWriter, r *http.Request) {
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			for n := last + 1; n <= 20; n++ {
+				_, _ = io.WriteString(w, "id: "+strconv.Itoa(n)+"\ndata: x\n\n")
+				_ = http.NewResponseController(w).Flush()
+				sayNothing(r, 100*time.Millisecond)
+			}
+		}
+		b.upstream(2, flow)
+		time.AfterFunc(500*time.Millisecond, func() {
+			b.upstream(3, flow)
+			b.assigner.Report(address(2).Addr(), foxtailwharf.UpstreamLoad{IsDown: true, Running: 1})
+		})
+		if a := b.call("/chat/1", nil); len(ids(a.body)) != 20 || b.ran(a) != 1 {
+			t.Errorf("have %d events of %d runs, want 20 of one run", len(ids(a.body)), b.ran(a))
+		}
+	})
+}
+
+// TestCallerLeavesDuringSearch guards against upstreams that go on after the caller has left, while another
+// upstream is sought or has the call.
+func TestCallerLeavesDuringSearch(t *testing.T) {
+	run(t, func(b *bench) {
+		stopped := make(chan time.Time, 2)
+		serve := func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			stopped <- time.Now()
+		}
+		b.upstream(2, serve)
+		b.upstream(3, serve)
+		ctx, cancel := context.WithTimeout(b.t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		b.call("/look/1", func(r *http.Request) { *r = *r.WithContext(ctx) })
+		left := time.Now()
+		for range 2 {
+			if took := (<-stopped).Sub(left); took > 100*time.Millisecond {
+				t.Errorf("an upstream ran for %s after the caller had left", took)
+			}
+		}
+	})
+}
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -20,6 +20,8 @@
 	// where the call may be repeated: no sound upstream is silent for so long, and the caller can still
 	// repeat its call.
 	patience = 1300 * time.Millisecond
+	// suspectSilence is how long an upstream that does not answer its agent must have been silent.
+	suspectSilence = 300 * time.Millisecond
 	// upstreamCheckInterval is the longest time between two runs of checkUpstream.
 	upstreamCheckInterval = 100 * time.Millisecond
 )
@@ -38,7 +40,8 @@
 }
 
 // checkUpstream cancels the attempt if the upstream has ended, or if the weights that it holds may no
-// longer begin an answer. If the upstream does not answer its agent, another one is sought.
+// longer begin an answer. If the upstream is silent and does not answer its agent, another one
+// is sought.
 func (a *attempt) checkUpstream() {
 	if a.isDone.Load() {
 		return
@@ -47,7 +50,7 @@
 		a.cancel(errUpstreamEnded)
 		return
 	}
-	if a.x.f.c.Assigner.IsSuspect(a.upstream) {
+	if a.isSilent() && a.x.f.c.Assigner.IsSuspect(a.upstream) {
 		a.x.startBackup(a.parent, a)
 	}
 	next := upstreamCheckInterval
@@ -62,6 +65,11 @@
 	a.checkTimer.Reset(next)
 }
 
+// isSilent reports whether the upstream has sent no data for suspectSilence.
+func (a *attempt) isSilent() bool {
+	return time.Since(time.Unix(0, a.heardAt.Load())) >= suspectSilence
+}
+
 // startDeadline returns when the call must have begun; zero if it has, or if there is no limit.
 func (a *attempt) startDeadline() time.Time {
 	if a.hasEvent.Load() {
@@ -79,5 +87,6 @@
 // resetStallTimer restarts the stall timer after an event or a part of an answer.
 func (a *attempt) resetStallTimer() {
 	a.isSuspect.Store(false)
+	a.heardAt.Store(time.Now().UnixNano())
 	a.stallTimer.Reset(max(eventTimeout, eventTimeoutPauses*a.x.route.Gap))
 }
