--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -82,6 +82,7 @@
 func (a *attempt) start(ctx context.Context) {
 	a.parent = ctx
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.heardAt.Store(time.Now().UnixNano())
 	// The timer is started only once the field that checkUpstream uses is set.
 	a.checkTimer = time.AfterFunc(time.Hour, a.checkUpstream)
 	a.checkTimer.Reset(upstreamCheckInterval)
@@ -95,7 +96,6 @@
 	}
 	a.x.progress.startRun()
 	sentAt := time.Now()
-	a.heardAt.Store(sentAt.UnixNano())
 	answer, err := a.x.f.c.Requester.Do(a.ctx, a.request())
 	if err != nil {
 		o, result = a.handleSendError(a.ctx, err)
--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -36,6 +36,8 @@
 	excluded map[string]bool // belongs to the goroutine of run until done is closed
 	cancel   context.CancelFunc
 	done     chan struct{}
+	hasRetry bool        // holds a retry of the budget; belongs to the goroutine of run
+	retryAt  time.Time   // when the retry was taken from the budget
 	state    backupState // guarded by progress.mu
 	answered *attempt    // that has been chosen; nil for none
 }
@@ -64,35 +66,51 @@
 // run searches until another upstream answers, or the call or the silence of the first upstream has ended.
 func (b *backup) run(ctx context.Context) {
 	defer close(b.done)
+	defer b.returnRetry()
 	x := b.x
 	x.log("upstream is silent, another one is sought", zap.String("Upstream", b.first.upstream.ID), zap.String("LastEvent", b.from.lastEvent))
-	var takenAt time.Time // when the retry was taken from the budget
-	hasRetry := false
 	for {
-		if !hasRetry {
-			takenAt, hasRetry = x.f.allowRetry(x.service.Name)
-		}
-		if hasRetry {
-			if u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(b.from, b.excluded, x.deadline)); refusal == nil {
-				a := newAttempt(x, u, b.from)
-				// A ban may have come during the wait, as in exchange.acquire.
-				if !x.mayRetryAfterRun() || !b.setSent() {
-					a.end(ctx, balancer.Abandoned)
-					break
-				}
-				hasRetry = false
-				if b.send(ctx, a) || b.isAlone() || !x.mayRetryAfterRun() {
-					return
-				}
-				continue
+		a := b.acquire(ctx)
+		switch {
+		case a == nil:
+			if !sleeper.Sleep(ctx, searchInterval) {
+				return
 			}
+		case b.send(ctx, a) || b.isAlone() || !x.mayRetryAfterRun():
+			return
 		}
-		if !sleeper.Sleep(ctx, searchInterval) {
-			break
-		}
 	}
-	if hasRetry {
-		x.f.returnRetry(x.service.Name, takenAt)
+}
+
+// acquire takes a retry from the budget and waits for another upstream. It returns nil if one of them is not
+// to be had now.
+func (b *backup) acquire(ctx context.Context) *attempt {
+	x := b.x
+	if !b.hasRetry {
+		b.retryAt, b.hasRetry = x.f.allowRetry(x.service.Name)
+	}
+	if !b.hasRetry {
+		return nil
+	}
+	u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(b.from, b.excluded, x.deadline))
+	if refusal != nil {
+		return nil
+	}
+	a := newAttempt(x, u, b.from)
+	// A ban may have come during the wait, as in exchange.acquire.
+	if !x.mayRetryAfterRun() || !b.setSent() {
+		a.end(ctx, balancer.Abandoned)
+		b.cancel()
+		return nil
+	}
+	b.hasRetry = false
+	return a
+}
+
+// returnRetry gives back a retry that was not made.
+func (b *backup) returnRetry() {
+	if b.hasRetry {
+		b.x.f.returnRetry(b.x.service.Name, b.retryAt)
 	}
 }
 
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -13,7 +13,6 @@
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
@@ -23,14 +22,8 @@
 const (
 	// defaultTimeout applies to routes without a timeout.
 	defaultTimeout = 30 * time.Second
-	// firstEventOverhead is the time from the start of a call at an upstream to its first event,
-	// not counting the reading of the prompt.
-	firstEventOverhead = 90 * time.Millisecond
 	// callerWriteTimeout is how long a caller may take to read what is written to it at once.
 	callerWriteTimeout = 30 * time.Second
-	// maxQueueFraction is the fraction of the time until its deadline for which a call may wait
-	// for an engine with capacity. Calls to plain services may wait until the deadline.
-	maxQueueFraction = 0.45
 )
 
 // exchange is the state of one call from its admission to its answer.
@@ -225,84 +218,6 @@
 	return x.route.IsRepeatable() && x.progress.countRuns() < x.route.Attempts && !x.f.mayCrash(x.digest, x.call.PromptParts)
 }
 
-// waitUntil returns until when a call may wait for an upstream.
-func (x *exchange) waitUntil() time.Time {
-	if x.service.Engine == nil {
-		return x.deadline
-	}
-	return x.started.Add(time.Duration(float64(x.deadline.Sub(x.started)) * maxQueueFraction))
-}
-
-// assignerRequest describes to the assigner an attempt that goes on from a position.
-func (x *exchange) assignerRequest(from position, excluded map[string]bool, waitUntil time.Time) assigner.Request {
-	firstEventTime := firstEventOverhead
-	if e := x.service.Engine; e != nil && e.ReadRate > 0 {
-		firstEventTime += time.Duration(float64(x.call.PromptTokens) / e.ReadRate * float64(time.Second))
-	}
-	request := assigner.Request{
-		Requirements: balancer.Requirements{
-			Service:      x.service.Name,
-			Exclude:      excluded,
-			NeedsWeights: x.service.Engine != nil,
-			Weights:      from.weights,
-		},
-		Rank:      x.rank,
-		Arrived:   x.started,
-		StartBy:   x.started.Add(x.route.Goal - firstEventTime),
-		WaitUntil: waitUntil,
-		Deadline:  x.deadline,
-	}
-	if x.service.Engine == nil {
-		request.Requirements.ExtraSlots = plainQueueSlots
-	} else {
-		request.Requirements.ExtraSlots = modelExtraSlots(x.rank)
-		request.Requirements.Tokens = x.call.PromptTokens
-		request.Requirements.ReadPace = x.service.Engine.ReadPace()
-		request.Requirements.MaxPrefill = maxPrefill(x.rank)
-	}
-	return request
-}
-
-// maxPrefill returns the longest backlog of unread prompts (prefill) with which an engine may
-// still be assigned the call; 0 for no limit. The limits for lower priorities keep the backlogs
-// short for calls of the highest priority, whose first token waits for all prompts before theirs.
-func maxPrefill(rank queuer.Rank) time.Duration {
-	switch rank.Route {
-	case 0:
-		return 0
-	case 1:
-		return maxPrefillSecond
-	default:
-		return maxPrefillOthers
-	}
-}
-
-// Prefill limits by route priority: a quarter of the goal of the most urgent kind of call, and
-// half of that.
-const (
-	maxPrefillSecond = 100 * time.Millisecond
-	maxPrefillOthers = 50 * time.Millisecond
-)
-
-// plainQueueSlots is how many calls may queue at an upstream of a plain service beyond its slots.
-const plainQueueSlots = 6
-
-// modelExtraSlots returns how many calls of a rank may be at an engine beyond its slots. It is
-// negative for lower priorities, which leave slots free for those above them.
-func modelExtraSlots(rank queuer.Rank) float64 {
-	return max(urgentExtraSlots-float64(rank.Route)*reservedPerPriority, -maxReserved)
-}
-
-// Slots at an engine by route priority. Each priority below the highest leaves
-// reservedPerPriority slots more free, up to maxReserved. With urgentExtraSlots above 0, calls of
-// the highest priority would queue at the engine, so that no slot idles between two reports of its
-// agent.
-const (
-	urgentExtraSlots    = 0
-	reservedPerPriority = 1
-	maxReserved         = 2
-)
-
 // finish ends a call that no attempt has delivered.
 func (x *exchange) finish(ctx context.Context, refusal *foxtailwharf.Refusal) {
 	switch {
