A search that was refused ends with the silent upstream

What callers saw: no answer until the deadline, though nobody had their call any more. Cause: once another upstream had refused, the search still counted as sent, and was waited for after the first attempt had ended by itself. Evidence: TestFirstEndsAfterOtherRefused failed: 504 after 6.002s, want 502 within 2.5s. Change: a search that has nobody counts as searching again, and ends with the first attempt.

--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -76,7 +76,7 @@
 			if !sleeper.Sleep(ctx, searchInterval) {
 				return
 			}
-		case b.send(ctx, a) || b.isAlone() || !x.mayRetryAfterRun():
+		case b.send(ctx, a) || !b.setSearching() || !x.mayRetryAfterRun():
 			return
 		}
 	}
@@ -159,11 +159,15 @@
 	return true
 }
 
-// isAlone reports whether the first attempt has ended by itself.
-func (b *backup) isAlone() bool {
+// setSearching records that no other upstream has the call any more. It returns false if the first attempt has
+// ended by itself, with which the search ends.
+func (b *backup) setSearching() bool {
 	b.x.progress.mu.Lock()
 	defer b.x.progress.mu.Unlock()
-	return b.state == backupAlone
+	if b.state == backupSent {
+		b.state = backupSearching
+	}
+	return b.state != backupAlone
 }
 
 // choose ends the first attempt in favour of one that has begun to be answered. It returns false if the
--- a/internal/request/forwarder/search_test.go
+++ b/internal/request/forwarder/search_test.go
@@ -228,3 +228,16 @@
 		}
 	})
 }
+
+// TestFirstEndsAfterOtherRefused guards against calls that are held until their deadline by a search that has
+// found nobody, once the silent upstream has ended.
+func TestFirstEndsAfterOtherRefused(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upstream(2, after(2*time.Second, breakOff))
+		time.AfterFunc(100*time.Millisecond, func() { b.upstream(3, refuse) })
+		started := time.Now()
+		if a := b.call("/look/1", nil); a.status != http.StatusBadGateway || time.Since(started) > 2500*time.Millisecond {
+			t.Errorf("have %d after %s, want 502 within 2.5s", a.status, time.Since(started))
+		}
+	})
+}
