Simulator's tests read the runs of calls under their lock

Cause: the test read harness.runs without the lock under which engines that are still running a call append to it (release_test.go:109 against harness_test.go:71). A race is counted for all tests that run at that moment, hence the other three. Ruled out: a race of the other three by themselves; each passes alone under the detector.

The two tests that read the list while engines run use methods of the harness that hold the lock; the checks are the same.

--- a/standin/simulator/harness_test.go
+++ b/standin/simulator/harness_test.go
@@ -87,6 +87,25 @@
 	})
 }
 
+// countRuns returns how many times calls have begun at engines.
+func (h *harness) countRuns() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.runs)
+}
+
+// lastStart returns when the last call began at an engine; zero for none.
+func (h *harness) lastStart() (last time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.runs {
+		if r.startedAt.After(last) {
+			last = r.startedAt
+		}
+	}
+	return last
+}
+
 // call sends one call and records its result.
 func (h *harness) call(entry *simulator.Entry, route, key string, promptTokens int) result {
 	return h.callWithin(entry, route, key, promptTokens, 0)
--- a/standin/simulator/release_test.go
+++ b/standin/simulator/release_test.go
@@ -105,10 +105,7 @@
 		h.release(2)
 		h.load("chat", 60, switchBound, 500)
 		time.Sleep(switchBound + time.Second)
-		last := time.Duration(0)
-		for _, r := range h.runs {
-			last = max(last, r.startedAt.Sub(releasedAt))
-		}
+		last := h.lastStart().Sub(releasedAt)
 		if last < givenUp-100*time.Millisecond || last > switchBound {
 			t.Errorf("last call on the old weights %s after the release, want about %s", last, givenUp)
 		}
--- a/standin/simulator/silence_test.go
+++ b/standin/simulator/silence_test.go
@@ -25,8 +25,8 @@
 			}
 		}
 		// Another engine may be tried while the first one is silent.
-		if len(h.runs) < len(sent) || len(h.runs) > 2*len(sent) {
-			t.Errorf("%d calls began %d times, want once or twice each", len(sent), len(h.runs))
+		if runs := h.countRuns(); runs < len(sent) || runs > 2*len(sent) {
+			t.Errorf("%d calls began %d times, want once or twice each", len(sent), runs)
 		}
 	})
 }
