Relayer: a call with a key whose response breaks off is repeated, and its stream is sent once it is whole

What callers saw: the connection to the only agent that may run a call broke in the middle of the response. The agent keeps the whole response, but the call was refused with unknown outcome; where events had gone out, the refusal was appended to them.

Cause: a response that broke off after its opening record counted as a refusal by the incarnation itself, which ends the repeats.

Change: only a refusal counts as one; the response of a call with a key is read whole before any of it is sent. The agent stores it whole before it sends the first byte, so that callers wait no longer. The test's set-up became a struct; no check changed.

--- a/internal/request/relayer/once.go
+++ b/internal/request/relayer/once.go
@@ -145,7 +145,7 @@
 		if o.isWhole {
 			return nil
 		}
-		if o.isAnsweredBy(i.Incarnation) {
+		if o.isRefusedBy(i.Incarnation) {
 			return o.refusal
 		}
 		e.mayHaveRun = e.mayHaveRun || !o.isNotRun()
--- a/internal/request/relayer/output.go
+++ b/internal/request/relayer/output.go
@@ -37,7 +37,7 @@
 	identity foxtailwharf.Identity
 	rank     foxtailwharf.Rank
 	started  time.Time
-	limit    int64 // maximum size in bytes of a response that is not a stream
+	limit    int64 // maximum size in bytes of a response that is not forwarded by event
 
 	isStarted bool
 	version   string // version that produced the part that was sent; empty before the start
@@ -119,8 +119,8 @@
 	o.recordWhole()
 }
 
-// readAll reads a response that is not a stream. None of it is sent before it is complete, so
-// that a retry elsewhere is possible until then.
+// readAll reads a response that is not forwarded by event. None of it is sent before it is complete,
+// so that a retry is possible until then.
 func (o *output) readAll(r io.Reader) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(r, o.limit+1))
 	if err != nil {
@@ -132,7 +132,7 @@
 	return data, nil
 }
 
-// writeAll sends a complete response that is not a stream.
+// writeAll sends a response that readAll has read.
 func (o *output) writeAll(answer wire.Answer, data []byte) {
 	o.writeHead(answer, len(data))
 	o.bytes = int64(len(data))
--- a/internal/request/relayer/relayer_test.go
+++ b/internal/request/relayer/relayer_test.go
@@ -78,12 +78,17 @@
 	}
 }
 
-// relay sends one request to agents. It reports whether the caller's connection was aborted.
-func relay(t *testing.T, agents ...*agent) (out *httptest.ResponseRecorder, refusal *foxtailwharf.Refusal, isAborted bool) {
+// bench is a relayer with the agents that it knows.
+type bench struct {
+	relayer *relayer.Relayer
+	members members
+	servers []*standin.Server
+}
+
+func newBench(t *testing.T, agents ...*agent) *bench {
 	network := standin.NewMemoryNetwork(time.Millisecond, 0)
 	host := network.Host("d", "r", 0)
-	var list members
-	var servers []*standin.Server
+	b := &bench{}
 	for n, a := range agents {
 		a.incarnation = fmt.Sprint("incarnation ", n)
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n+1))
@@ -91,30 +96,44 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		servers = append(servers, server)
-		list = append(list, foxtailwharf.Instance{Name: fmt.Sprint("agent-", n), Incarnation: a.incarnation, Address: address, Service: "s", Version: "v", FailureDomain: "d"})
+		b.servers = append(b.servers, server)
+		b.members = append(b.members, foxtailwharf.Instance{Name: fmt.Sprint("agent-", n), Incarnation: a.incarnation, Address: address, Service: "s", Version: "v", FailureDomain: "d"})
 	}
 	random := rand.New(rand.NewPCG(1, 1))
-	r := relayer.New(relayer.Config{
+	b.relayer = relayer.New(relayer.Config{
 		Network:        host,
-		Members:        list,
+		Members:        b.members,
 		Router:         router.Config{Policy: foxtailwharf.RoutingRoundRobin, FailureDomain: "d", Random: random},
 		Budget:         budgeter.Config{Ratio: 0.1, BaseDelay: time.Millisecond, MaxDelay: time.Millisecond, Random: random},
 		Meter:          meter.New(),
 		MaxAnswerBytes: 1000,
 		Log:            zap.NewNop(),
 	})
-	out = httptest.NewRecorder()
-	func() {
-		defer func() { isAborted = recover() != nil }()
-		_, refusal = r.Relay(t.Context(), out, relayer.Request{Service: "s", Method: http.MethodPost, Path: "/", Deadline: time.Now().Add(30 * time.Second)})
-	}()
-	r.Close()
-	for _, server := range servers {
+	return b
+}
+
+func (b *bench) close() {
+	b.relayer.Close()
+	for _, server := range b.servers {
 		server.Close()
 	}
 	time.Sleep(time.Minute)
-	return out, refusal, isAborted
+}
+
+// relay sends one request to the agents. It reports whether the caller's connection was aborted.
+func (b *bench) relay(t *testing.T, q relayer.Request) (out *httptest.ResponseRecorder, refusal *foxtailwharf.Refusal, isAborted bool) {
+	q.Service, q.Method, q.Path, q.Deadline = "s", http.MethodPost, "/", time.Now().Add(30*time.Second)
+	out = httptest.NewRecorder()
+	defer func() { isAborted = recover() != nil }()
+	_, refusal = b.relayer.Relay(t.Context(), out, q)
+	return out, refusal, false
+}
+
+// relay sends one request to agents. It reports whether the caller's connection was aborted.
+func relay(t *testing.T, agents ...*agent) (out *httptest.ResponseRecorder, refusal *foxtailwharf.Refusal, isAborted bool) {
+	b := newBench(t, agents...)
+	defer b.close()
+	return b.relay(t, relayer.Request{})
 }
 
 // TestFaultyAgents has an agent send responses that are mismatched, duplicated, incomplete or
--- a/internal/request/relayer/try.go
+++ b/internal/request/relayer/try.go
@@ -29,6 +29,7 @@
 // outcome is the result of one attempt.
 type outcome struct {
 	isWhole     bool // the complete response has been sent to the caller
+	isRefused   bool // the agent answered with a refusal
 	refusal     *foxtailwharf.Refusal
 	incarnation string // incarnation that answered; empty if none did
 	load        *wire.Load
@@ -57,9 +58,9 @@
 	}
 }
 
-// isAnsweredBy reports whether the incarnation itself refused the attempt.
-func (o outcome) isAnsweredBy(incarnation string) bool {
-	return o.incarnation == incarnation && o.refusal != nil
+// isRefusedBy reports whether the incarnation itself refused the attempt.
+func (o outcome) isRefusedBy(incarnation string) bool {
+	return o.incarnation == incarnation && o.isRefused
 }
 
 // try is one attempt at one agent.
@@ -198,6 +199,7 @@
 func (t *try) refused(answer wire.Answer) outcome {
 	refusal := foxtailwharf.RefusalFromWire(answer.Refusal)
 	return outcome{
+		isRefused:   true,
 		refusal:     refusal,
 		incarnation: answer.Incarnation,
 		load:        answer.Load,
@@ -208,13 +210,21 @@
 	}
 }
 
+// isForwardedByEvent reports whether events are sent to the caller before the response is complete. The
+// agent stores the response of a call with a key before it sends any of it, and sends the repeat of the
+// call all of it again.
+func (t *try) isForwardedByEvent(answer wire.Answer) bool {
+	return t.attempt.Key == "" && runner.IsStream(answer.ContentType)
+}
+
 // forward sends the response to the caller and checks its end record.
 func (t *try) forward(ctx context.Context, response *http.Response, answer wire.Answer) outcome {
 	t.watchdog.Reset(streamIdleTimeout)
 	counter := &countingReader{reader: response.Body, onRead: func() { t.watchdog.Reset(streamIdleTimeout) }}
 	var err error
 	var rest []byte
-	if runner.IsStream(answer.ContentType) {
+	isByEvent := t.isForwardedByEvent(answer)
+	if isByEvent {
 		err = t.forwardEvents(counter, answer)
 	} else if rest, err = t.e.out.readAll(counter); err == nil {
 		err = io.EOF
@@ -226,7 +236,7 @@
 	if !o.isWhole {
 		return o
 	}
-	if runner.IsStream(answer.ContentType) {
+	if isByEvent {
 		t.e.out.finishStream(answer)
 	} else {
 		t.e.out.writeAll(answer, rest)
