Relayer: events out of order are a fault of the upstream, no crash

What callers saw: an engine that sent an event twice or left one out counted as crashed by the request; two such answers banned it for ten minutes in the whole fleet, and identical requests were refused as quarantined.

Cause: errSequence fell into the branch for connections that break off, the only ones that are evidence of a crash.

Evidence: TestWrongSequenceIsNoCrash failed in three of its four cases: "the request counts as the cause of 2 crashes, want 0", "banned: true after 0 crashes". The fourth, two real crashes, is still banned.

Change: such an answer is malformed, like one with another attempt's ID: a fault of the upstream, counted as a mismatch.

--- a/internal/request/relayer/try.go
+++ b/internal/request/relayer/try.go
@@ -143,6 +143,8 @@
 	case ctx.Err() != nil:
 		o.refusal = foxtailwharf.OutcomeUnknown(foxtailwharf.ReasonDeadline, "the caller disconnected or the deadline passed")
 		o.isFinal = true
+	case errors.Is(err, errSequence):
+		return mismatched(err.Error())
 	case errors.Is(err, errDisconnected):
 		o.isFinal = true
 	case errors.Is(err, errTooLarge):
