Router: a prefix stays on its upstream while all upstreams are equally loaded

What callers saw: with two to four requests at each upstream, conversations left the upstream that had cached their prefix and read the whole prompt again, at the very load where that costs most.

Cause: the bound, 1.25 times the mean, is less than one request above the mean up to a mean of four, so that evenly loaded upstreams were all above it and the choice fell to the less loaded of two.

Change: the bound is at least one request above the mean. The least loaded upstream is then always within it, so that the fallback is gone.

--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// loadBound is the largest load of a preferred upstream relative to the mean load.
+	// loadBound is the largest load of a preferred upstream relative to the mean load. One request
+	// more than the mean is always allowed.
 	loadBound = 1.25
 	// minLoadBound is the number of requests up to which an upstream that has the prefix is taken
 	// regardless of the mean load. While the load is this low, sending the request elsewhere gains
@@ -158,27 +159,23 @@
 
 // pickByAffinity returns the upstream with the highest rendezvous score for a key among those
 // that are not loaded far above the mean.
-func (r *Router) pickByAffinity(now time.Time, local []*foxtailwharf.Instance, key string) *foxtailwharf.Instance {
-	total := 0.0
+func (r *Router) pickByAffinity(now time.Time, local []*foxtailwharf.Instance, key string) (best *foxtailwharf.Instance) {
+	mean := 1 / float64(len(local))
 	for _, i := range local {
-		total += r.Load(now, i.Incarnation)
+		mean += r.Load(now, i.Incarnation) / float64(len(local))
 	}
-	bound := loadBound * (total + 1) / float64(len(local))
-	best := -1
+	// The least loaded upstream is always within the bound.
+	bound := max(loadBound*mean, mean+1, minLoadBound)
 	var bestScore uint64
-	for n, i := range local {
-		// Evenly loaded upstreams may all exceed the bound. The less loaded of two is taken then.
-		if r.Load(now, i.Incarnation)+1 > max(bound, minLoadBound) {
+	for _, i := range local {
+		if r.Load(now, i.Incarnation)+1 > bound {
 			continue
 		}
-		if score := foxtailwharf.RendezvousScore(key, i.Name); best < 0 || score > bestScore {
-			best, bestScore = n, score
+		if score := foxtailwharf.RendezvousScore(key, i.Name); best == nil || score > bestScore {
+			best, bestScore = i, score
 		}
 	}
-	if best < 0 {
-		return r.lessLoadedOfTwo(now, local)
-	}
-	return local[best]
+	return best
 }
 
 // leastUrgent returns the upstream with the least urgent work, after adding remoteCost for other
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -112,6 +112,32 @@
 	}
 }
 
+// TestAffinityUnderEvenLoad checks that a prefix stays on its upstream while all upstreams are equally
+// loaded, also by reports that have aged.
+func TestAffinityUnderEvenLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		list := agents(rapid.IntRange(1, 12).Draw(t, "agents"))
+		for n := range list {
+			list[n].FailureDomain = "d0"
+		}
+		q := router.Request{Service: "s", Affinity: rapid.StringMatching("[a-z]{3}").Draw(t, "prefix")}
+		want, _ := newRouter().Pick(now, list, q)
+		r := newRouter()
+		own, others := rapid.IntRange(0, 20).Draw(t, "own"), rapid.IntRange(0, 20).Draw(t, "others")
+		for _, i := range list {
+			r.Report(now, i.Incarnation, foxtailwharf.Load{Running: others})
+			addFaultsAndLoad(r, now, i.Incarnation, 0, own)
+		}
+		now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "age")) * time.Millisecond)
+		for range 10 {
+			if got, _ := r.Pick(now, list, q); got.Name != want.Name {
+				t.Fatalf("picked %s, want %s: all have %g requests", got.Name, want.Name, r.Load(now, got.Incarnation))
+			}
+		}
+	})
+}
+
 // TestEject checks that an upstream with consecutive faults is ejected and returns after the
 // ejection time, and that an upstream is picked even if all have faults.
 func TestEject(t *testing.T) {
