Selector: crossings between regions are checked

The tests counted the fetches between regions and compared them with nothing. Without faults each chunk now has to enter each other region exactly once.

--- a/internal/version/selector/selector_test.go
+++ b/internal/version/selector/selector_test.go
@@ -27,7 +27,8 @@
 	longPolls     []longPoll
 	originFetches int  // successful and failed ones, but not while the origin is down
 	isDown        bool // whether the origin is down
-	crossings     int  // fetches between regions
+	regions       int
+	crossings     int // fetches between regions
 }
 
 // longPoll is a fetch that its source holds until it has the chunk.
@@ -43,15 +44,14 @@
 )
 
 func newSwarm(t *rapid.T, chunks, count int) *swarm {
-	s := &swarm{now: time.Unix(0, 0)}
+	s := &swarm{now: time.Unix(0, 0), regions: rapid.IntRange(1, 3).Draw(t, "regions")}
 	manifest := foxtailwharf.Manifest{}
 	for n := range chunks {
 		manifest.Chunks = append(manifest.Chunks, foxtailwharf.Chunk{Digest: foxtailwharf.Digest([]byte{byte(n)}), Size: 1})
 	}
-	regions := rapid.IntRange(1, 3).Draw(t, "regions")
 	for n := range count {
 		s.instances = append(s.instances, foxtailwharf.Instance{
-			Name: fmt.Sprint("agent-", n), Incarnation: fmt.Sprint(n), Region: fmt.Sprint("r", n%regions), FailureDomain: fmt.Sprint("d", n%(2*regions)),
+			Name: fmt.Sprint("agent-", n), Incarnation: fmt.Sprint(n), Region: fmt.Sprint("r", n%s.regions), FailureDomain: fmt.Sprint("d", n%(2*s.regions)),
 		})
 	}
 	for n, i := range s.instances {
@@ -150,7 +150,7 @@
 }
 
 // TestOneOriginFetch checks that without faults each chunk is fetched from the origin exactly
-// once.
+// once, and into each other region exactly once.
 func TestOneOriginFetch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		chunks, count := rapid.IntRange(1, 30).Draw(t, "chunks"), rapid.IntRange(3, 12).Draw(t, "agents")
@@ -165,6 +165,9 @@
 		if s.originFetches != chunks {
 			t.Errorf("%d chunks took %d fetches from the origin", chunks, s.originFetches)
 		}
+		if want := chunks * (s.regions - 1); s.crossings != want {
+			t.Errorf("%d chunks crossed between %d regions %d times, want %d", chunks, s.regions, s.crossings, want)
+		}
 	})
 }
 
