Uploader: a wait that a time.Duration does not hold is the longest one

What callers saw: an agent that asks another to hold its request for a very long time got 404 at once and asked again without pause, instead of being held for a minute.

Cause: the seconds were multiplied before they were compared with the maximum; more than overflow to a negative time, and a number beyond an int counted as no number.

Own agents ask for at most 30 s, so that only foreign clients and wrong settings were concerned.

--- a/internal/version/uploader/uploader.go
+++ b/internal/version/uploader/uploader.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/holder"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/pacer"
@@ -118,16 +120,18 @@
 	u.send(w, r, data)
 }
 
+// preferredWait returns how long the request may be held.
 func preferredWait(r *http.Request) time.Duration {
 	text, isSet := strings.CutPrefix(r.Header.Get("Prefer"), "wait=")
 	if !isSet {
 		return 0
 	}
+	// A number out of range comes back as the largest or the smallest int.
 	seconds, err := strconv.Atoi(text)
-	if err != nil || seconds < 0 {
+	if (err != nil && !errors.Is(err, strconv.ErrRange)) || seconds < 0 {
 		return 0
 	}
-	return min(time.Duration(seconds)*time.Second, maxWait)
+	return time.Duration(min(seconds, int(maxWait/time.Second))) * time.Second
 }
 
 // send writes a chunk in blocks at the rate of the pacer.
