Digests in upper case mean what they say

What callers saw: a caller whose KeyDigest an operator had written in upper case was refused with its own key, although the agreement passed all checks. A service's version in upper case, and a manifest whose chunks are, never got whole weights.

Cause: the checks accept both cases, and all comparisons are with digests in lower case.

Change: documents and manifests are brought to lower case where they are decoded. Refusing upper case would take agreements out of force that are in force today.

--- a/agreement.go
+++ b/agreement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -61,7 +62,7 @@
 	Caller  string
 }
 
-// Defaults sets fields with a zero value to their defaults.
+// Defaults sets fields with a zero value to their defaults, and key digests to lower case.
 func (a *Agreement) Defaults() {
 	setDefault(&a.Kind, KindAgreement)
 	setDefault(&a.Name, AgreementName)
@@ -72,7 +73,9 @@
 			account := &member.Accounts[j]
 			account.Limit.defaults()
 			for k := range account.Callers {
-				account.Callers[k].Limit.defaults()
+				caller := &account.Callers[k]
+				caller.Limit.defaults()
+				caller.KeyDigest = strings.ToLower(caller.KeyDigest)
 			}
 		}
 	}
--- a/internal/process/registrar/registrar_test.go
+++ b/internal/process/registrar/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -86,21 +87,39 @@
 	}
 }
 
+// TestAuthenticate checks that a key is accepted if its digest is in the agreement, which may hold it in
+// either case.
 func TestAuthenticate(t *testing.T) {
-	k := registrar.New()
 	digest := foxtailwharf.Digest([]byte("secret"))
+	for _, written := range []string{digest, strings.ToUpper(digest), strings.ToUpper(digest[:9]) + digest[9:]} {
+		k := registrar.New()
+		k.Accept(foxtailwharf.Document{
+			ID:       foxtailwharf.DocumentID{Kind: foxtailwharf.KindAgreement, Name: foxtailwharf.AgreementName},
+			Revision: 1,
+			Body:     "Kind: Agreement\nMembers: [{Name: m, Accounts: [{Name: a, Callers: [{Name: c, KeyDigest: " + written + "}]}]}]\n",
+		})
+		want := foxtailwharf.Identity{Member: "m", Account: "a", Caller: "c"}
+		if grant, isKnown := k.Authenticate("secret"); !isKnown || grant.Identity != want {
+			t.Errorf("%s: got %+v, %t; want %+v", written, grant.Identity, isKnown, want)
+		}
+		for _, key := range []string{"", "other", digest, written} {
+			if _, isKnown := k.Authenticate(key); isKnown {
+				t.Errorf("%s: key %q was accepted", written, key)
+			}
+		}
+	}
+}
+
+// TestVersionInEitherCase checks that a service wants the version by which its weights are known.
+func TestVersionInEitherCase(t *testing.T) {
+	want := foxtailwharf.Digest([]byte("manifest"))
+	k := registrar.New()
 	k.Accept(foxtailwharf.Document{
-		ID:       foxtailwharf.DocumentID{Kind: foxtailwharf.KindAgreement, Name: foxtailwharf.AgreementName},
+		ID:       foxtailwharf.DocumentID{Kind: foxtailwharf.KindService, Name: "s"},
 		Revision: 1,
-		Body:     "Kind: Agreement\nMembers: [{Name: m, Accounts: [{Name: a, Callers: [{Name: c, KeyDigest: " + digest + "}]}]}]\n",
+		Body:     "Kind: Service\nName: s\nMember: m\nVersion: " + strings.ToUpper(want) + "\nRoutes: [{Path: /, Model: m}]\n",
 	})
-	want := foxtailwharf.Identity{Member: "m", Account: "a", Caller: "c"}
-	if grant, isKnown := k.Authenticate("secret"); !isKnown || grant.Identity != want {
-		t.Errorf("got %+v, %t; want %+v", grant.Identity, isKnown, want)
-	}
-	for _, key := range []string{"", "other", digest} {
-		if _, isKnown := k.Authenticate(key); isKnown {
-			t.Errorf("key %q was accepted", key)
-		}
+	if s, isKnown := k.Service("s"); !isKnown || s.Version != want {
+		t.Errorf("%+v, %t; want version %s", s, isKnown, want)
 	}
 }
--- a/manifest.go
+++ b/manifest.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -23,7 +24,7 @@
 	Size   int64  // bytes
 }
 
-// ParseManifest parses a manifest. It returns an error if data does not have the given digest or the
+// ParseManifest parses a manifest and sets the digests of its chunks to lower case. It returns an error if data does not have the given digest or the
 // number, digests or sizes of the chunks are invalid.
 func ParseManifest(data []byte, digest string) (m Manifest, err error) {
 	if Digest(data) != digest {
@@ -39,6 +40,7 @@
 		if !IsDigest(chunk.Digest) || chunk.Size < 1 || chunk.Size > maxChunkBytes {
 			return m, errors.Errorf("ParseManifest: digest or size of chunk %d is invalid", i)
 		}
+		m.Chunks[i].Digest = strings.ToLower(chunk.Digest)
 	}
 	return m, nil
 }
--- a/service.go
+++ b/service.go
@@ -94,9 +94,10 @@
 	Cost     float64       `yaml:"Cost"` // estimated tokens of a call that sets no limit itself
 }
 
-// Defaults sets fields with a zero value to their defaults.
+// Defaults sets fields with a zero value to their defaults, and the version to lower case.
 func (s *Service) Defaults() {
 	setDefault(&s.Kind, KindService)
+	s.Version = strings.ToLower(s.Version)
 	setDefault(&s.Upstream, UpstreamModel)
 	setDefault(&s.Slots, defaultSlots)
 	setDefault(&s.Queue, defaultQueue)
