Driver: an engine's error is no report

What callers saw: an engine that answered one query for its state with an error in JSON (overloaded, 503) was taken out of service at once, its weights were transferred and activated again, instead of being out only after three failures in a row.

Cause: the status of the response was ignored, so that the error's JSON read as a report without a version, which means a restart.

Evidence: TestReportStatus failed in four of seven cases (503, 500, 404, 302): "error <nil>; want error true"; after a 500 the version in its body was believed.

--- a/internal/connection/driver/driver.go
+++ b/internal/connection/driver/driver.go
@@ -117,8 +117,11 @@
 		return report, errors.Wrap(err, "Driver.Report")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode/100 != 2 {
+		return report, errors.Errorf("Driver.Report: engine answered with status %d", response.StatusCode)
+	}
 	if err = json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report); err != nil {
-		return report, errors.Wrap(err, "Driver.Report")
+		return foxtailwharf.EngineReport{}, errors.Wrap(err, "Driver.Report")
 	}
 	return report, nil
 }
