Loader: a version that nobody ordered is not adopted when the engine can't be ordered back

What callers saw: an engine obeyed a stale order to serve another version; its agent ordered it back, the order failed, and half a second later the agent put the engine into service on that version. Callers got answers from weights that no document names.

Cause: after the failed order the loader had forgotten what was ordered, and adopted what the engine reports as it does at its start.

Change: the loader keeps what the engine served and the version that it changed to by itself. That version is adopted only if it is the wanted one; the one before is ordered again with each check, and the wanted one as soon as it is whole.

--- a/internal/version/loader/loader.go
+++ b/internal/version/loader/loader.go
@@ -63,6 +63,10 @@
 	staged   string        // version that was last transferred to the engine; empty if not known
 	role     string
 	failures int // consecutive failed reports
+	// interrupted is what the engine served when it changed its version without an order of this
+	// agent, and unordered the version that it then reported; both are zero once it serves again.
+	interrupted Wanted
+	unordered   string
 }
 
 // New returns a loader that has not started.
@@ -127,7 +131,15 @@
 	l.adopt(report, wanted)
 	if report.Version != l.serving && l.serving != "" {
 		// The engine restarted or executed an order of another process.
-		return l.restore(ctx, report)
+		l.c.Log.Warn("weights: engine serves another version than ordered", zap.String("Version", report.Version))
+		l.interrupted, l.unordered = Wanted{Version: l.serving, Role: l.role}, report.Version
+		l.close()
+	}
+	if l.isHeld(l.interrupted.Version) && !l.isHeld(wanted.Version) {
+		if wanted.Version != "" {
+			l.c.Fetcher.Want(wanted.Version)
+		}
+		return l.order(ctx, l.interrupted)
 	}
 	if l.serving != "" && l.c.Dispatcher.IsPaused() {
 		// A failed request paused the dispatcher as if the engine had died, but it is alive.
@@ -157,9 +169,10 @@
 }
 
 // adopt puts an engine into service that already serves a version when the agent starts, or when
-// the engine comes back.
+// the engine comes back. A version to which the engine changed without an order is not adopted.
 func (l *Loader) adopt(report foxtailwharf.EngineReport, wanted Wanted) {
-	if l.serving != "" || report.Version == "" {
+	isUnordered := report.Version == l.unordered && report.Version != wanted.Version
+	if l.serving != "" || report.Version == "" || isUnordered {
 		return
 	}
 	l.open(report.Version, wanted.Role)
@@ -168,27 +181,22 @@
 func (l *Loader) open(version, role string) {
 	l.serving = version
 	l.role = role
+	l.interrupted, l.unordered = Wanted{}, ""
 	l.c.Dispatcher.Resume(version)
 	l.c.OnServing(version)
 	l.c.Log.Info("weights: engine serves a version", zap.String("Version", version))
 }
 
-// restore suspends the dispatcher and orders the engine back to the version that the requests ran
-// on. The dispatcher stays suspended if the weights are no longer held or the order fails.
-func (l *Loader) restore(ctx context.Context, report foxtailwharf.EngineReport) error {
-	l.c.Log.Warn("weights: engine serves another version than ordered", zap.String("Version", report.Version))
-	version := l.serving
-	l.close()
-	if held, total := l.c.Holder.Count(version); total == 0 || held < total {
-		return errors.New("Loader.restore: the weights are no longer held")
-	}
-	return l.order(ctx, Wanted{Version: version, Role: l.role})
+// isHeld reports whether all chunks of a version are held.
+func (l *Loader) isHeld(version string) bool {
+	held, total := l.c.Holder.Count(version)
+	return total > 0 && held == total
 }
 
 // install fetches the wanted version and switches to it once all chunks are held.
 func (l *Loader) install(ctx context.Context, wanted Wanted) error {
 	l.c.Fetcher.Want(wanted.Version)
-	if held, total := l.c.Holder.Count(wanted.Version); total == 0 || held < total {
+	if !l.isHeld(wanted.Version) {
 		return nil
 	}
 	if err := l.order(ctx, wanted); err != nil {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -33,6 +33,8 @@
 	// CacheSaving is the fraction of TimeToFirstToken that a cached prefix saves.
 	CacheSaving  float64
 	ChecksFence  bool
+	// RefusesOrders makes the engine refuse all orders to serve a version.
+	RefusesOrders bool
 	RestartDelay time.Duration // downtime after a crash
 	// MixesVersions makes responses that are in progress continue with the version that is active
 	// now, like an engine that cannot serve two versions at a time.
@@ -177,6 +179,10 @@
 	version := path.Base(r.URL.Path)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.c.RefusesOrders {
+		http.Error(w, "no orders are taken", http.StatusServiceUnavailable)
+		return
+	}
 	if e.c.ChecksFence && fence < e.fence {
 		http.Error(w, "fencing token is stale", http.StatusConflict)
 		return
--- a/standin/fleet/versions_test.go
+++ b/standin/fleet/versions_test.go
@@ -240,3 +240,39 @@
 		b.stop()
 	})
 }
+
+// TestRestoreIsRefused has all engines obey a stale order to serve another version, and refuse their
+// agents' orders for a time. No caller may get a response from that version, whether the agents want the
+// version before or a newer one, and the engines serve again once they take orders.
+func TestRestoreIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, wanted := range []int{0, 1} {
+		t.Run(fmt.Sprint("wanted version ", wanted), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, benchConfig{})
+				setRefusing := func(isRefusing bool) {
+					for _, a := range b.f.AgentsOf("assistant") {
+						engineOf(t, a).UpdateConfig(func(c *standin.EngineConfig) { c.RefusesOrders = isRefusing })
+					}
+				}
+				setRefusing(true)
+				if wanted > 0 {
+					b.applyVersion(wanted)
+				}
+				for _, a := range b.f.AgentsOf("assistant") {
+					engineOf(t, a).ForceVersion(b.versions[2])
+				}
+				for n := range 60 {
+					if a := b.via(n % 6).chat(streamRequest(fmt.Sprint("caller ", n), 3)); a.status == http.StatusOK && a.version == b.versions[2] {
+						t.Errorf("request %d got a response from %s", n, b.versionName(a.version))
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+				setRefusing(false)
+				b.await("the fleet is ready again", b.f.IsReady)
+				b.checkWeights(b.versions[wanted])
+				b.stop()
+			})
+		})
+	}
+}
