Watcher: each document gets its status

What operators saw: in failure domains of more than two entries most documents had no status in the store, so that nobody could tell from there whether a revision is in force.

Cause: the writer of a status was chosen among all entries, but only the watchers write, two of each failure domain.

Change: the writer is chosen among the watchers, whom all entries compute alike; entries that are leaving don't count.

--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -76,27 +76,38 @@
 	defer close(w.done)
 	written := make(map[foxtailwharf.DocumentID]uint64)
 	for sleeper.Sleep(ctx, statusInterval) {
-		if isWatcher(w.c) {
-			w.writeStatuses(ctx, written)
-		}
+		w.writeStatuses(ctx, watchers(w.c), written)
 	}
 	for _, watchDone := range watches {
 		<-watchDone
 	}
 }
 
-// isWatcher reports whether this process is one of the watchers of its failure domain. While
-// processes disagree on the live entries there may be a watcher more or fewer, which is harmless.
-func isWatcher(c Config) bool {
-	higher := 0
-	own := foxtailwharf.RendezvousScore("watch", c.Self.Name)
+// watchers returns the names of the entries that watch the store: some of each failure domain, chosen by
+// rendezvous hashing among those that are not leaving. While processes disagree on the live entries there
+// may be a watcher more or fewer, which is harmless.
+func watchers(c Config) (names []string) {
+	score := func(e foxtailwharf.Instance) uint64 { return foxtailwharf.RendezvousScore("watch", e.Name) }
+	entries := []foxtailwharf.Instance{c.Self}
 	for _, e := range c.Entries() {
-		isCandidate := e.FailureDomain == c.Self.FailureDomain && e.Name != c.Self.Name && !e.IsLeaving
-		if isCandidate && foxtailwharf.RendezvousScore("watch", e.Name) > own {
-			higher++
+		if !e.IsLeaving && e.Name != c.Self.Name {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b foxtailwharf.Instance) int { return cmp.Compare(score(b), score(a)) })
+	chosen := make(map[string]int) // by failure domain
+	for _, e := range entries {
+		if chosen[e.FailureDomain] < watchersPerDomain {
+			chosen[e.FailureDomain]++
+			names = append(names, e.Name)
 		}
 	}
-	return higher < watchersPerDomain
+	return names
+}
+
+// isWatcher reports whether this process is one of the watchers of its failure domain.
+func isWatcher(c Config) bool {
+	return slices.Contains(watchers(c), c.Self.Name)
 }
 
 // run watches one kind. Every process reads the store once at its start, so that the first
@@ -167,12 +178,12 @@
 	return id.Kind + "." + id.Name
 }
 
-// writeStatuses writes the statuses of documents that changed since the last write. At most one
-// process writes for each document, so that the number of writes does not grow with the fleet: the
-// entry that rendezvous hashing chooses among all entries, if it is a watcher.
-func (w *Watcher) writeStatuses(ctx context.Context, written map[foxtailwharf.DocumentID]uint64) {
+// writeStatuses writes the statuses of documents that changed since the last write. One process writes
+// for each document, so that the number of writes does not grow with the fleet: the watcher that
+// rendezvous hashing chooses among all candidates, which are the watchers.
+func (w *Watcher) writeStatuses(ctx context.Context, candidates []string, written map[foxtailwharf.DocumentID]uint64) {
 	for _, s := range w.c.Registrar.Statuses() {
-		if written[s.ID] >= s.Revision || !w.isWriter(s.ID) {
+		if written[s.ID] >= s.Revision || writer(candidates, s.ID) != w.c.Self.Name {
 			continue
 		}
 		if err := w.writeStatus(ctx, s); err != nil {
@@ -183,16 +194,12 @@
 	}
 }
 
-func (w *Watcher) isWriter(id foxtailwharf.DocumentID) bool {
-	entries := w.c.Entries()
-	if len(entries) == 0 {
-		return true
-	}
+// writer returns the watcher that writes the status of a document.
+func writer(candidates []string, id foxtailwharf.DocumentID) string {
 	key := id.Kind + "/" + id.Name
-	best := slices.MaxFunc(entries, func(a, b foxtailwharf.Instance) int {
-		return cmp.Compare(foxtailwharf.RendezvousScore(key, a.Name), foxtailwharf.RendezvousScore(key, b.Name))
+	return slices.MaxFunc(candidates, func(a, b string) int {
+		return cmp.Compare(foxtailwharf.RendezvousScore(key, a), foxtailwharf.RendezvousScore(key, b))
 	})
-	return best.Name == w.c.Self.Name
 }
 
 func (w *Watcher) writeStatus(ctx context.Context, s registrar.Status) error {
