Entries tell agents one origin

What agents saw: with two services that have an origin, each notice named one of them at random, so that agents read manifests and chunks from an origin that does not have the release, every second another one.

Cause: the notice took the origin of whichever service came last in a map.

Change: the service's own origin, otherwise that of the first service by name.

--- a/configuration.go
+++ b/configuration.go
@@ -1,7 +1,9 @@
 package foxtailwharf
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -26,6 +28,20 @@
 	Keys map[string]CallAccount
 }
 
+// OriginOf returns the service whose origin has the weights of a service: the service itself if it has
+// one, otherwise the first by name, so that all processes choose the same.
+func (c *Configuration) OriginOf(service string) (origin CallService, exists bool) {
+	if own := c.Services[service]; own.Origin.IsValid() {
+		return own, true
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		if s := c.Services[name]; s.Origin.IsValid() {
+			return s, true
+		}
+	}
+	return origin, false
+}
+
 // CallAccount is the client account that an API key belongs to.
 type CallAccount struct {
 	Name string
--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -98,12 +98,10 @@
 		Service: service, Model: model, Domain: d.c.Settings.FailureDomain, ListRevision: v.Revisions.Upstreams,
 		ReadPace: int(c.Services[service].Engine.ReadPace()),
 	}
-	for _, s := range c.Services {
-		if s.Origin.IsValid() {
-			notice.Origin = s.Origin.String()
-			notice.OriginDomain = s.OriginDomain
-			notice.OriginRate = s.OriginRate
-		}
+	if origin, exists := c.OriginOf(service); exists {
+		notice.Origin = origin.Origin.String()
+		notice.OriginDomain = origin.OriginDomain
+		notice.OriginRate = origin.OriginRate
 	}
 	now := d.c.Clock()
 	if named := d.namedReleases(now, model); len(named) > 0 {
--- a/standin/simulator/origin.go
+++ b/standin/simulator/origin.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -21,6 +23,7 @@
 	sent          int64
 	manifestReads int // number of manifests that were read
 	isDown        bool
+	addresses     map[netip.AddrPort]bool // that agents were told
 }
 
 // ManifestReads returns how often a manifest was read.
@@ -44,8 +47,21 @@
 	return o.sent
 }
 
-// SetAddress does nothing, since this origin has no address.
-func (o *Origin) SetAddress(netip.AddrPort) {}
+// SetAddress records the address that an agent was told. This origin has none of its own.
+func (o *Origin) SetAddress(address netip.AddrPort) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.addresses[address] = true
+}
+
+// TakeAddresses returns the addresses that agents were told since the last call.
+func (o *Origin) TakeAddresses() []netip.AddrPort {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	taken := slices.SortedFunc(maps.Keys(o.addresses), netip.AddrPort.Compare)
+	clear(o.addresses)
+	return taken
+}
 
 // Learn records the chunks of a release, which Chunk then finds by their digests.
 func (o *Origin) Learn(release foxtailwharf.Release, m foxtailwharf.Manifest) {
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -66,7 +66,7 @@
 	return &Fleet{
 		c:         c,
 		Store:     standin.NewFleetStore(),
-		Origin:    &Origin{chunks: make(map[string][]byte)},
+		Origin:    &Origin{chunks: make(map[string][]byte), addresses: make(map[netip.AddrPort]bool)},
 		network:   standin.NewMemoryNetwork(time.Millisecond, 0),
 		createdAt: time.Now(),
 	}
