Entries and agents of listed fleets that fail to start leave nothing open

What operators saw: nothing by the daemons, which end; a process that embeds an entry or an agent and tries again found its own sockets in use.

Cause: Start returned at the first listener that failed and left the socket for datagrams and the servers before it open.

Evidence: TestFailedStartLeavesNothingOpen failed for each of the four addresses of an entry and for the metrics of an agent: "the second start failed: Host.ListenPacket: 10.0.0.1:7700 is in use"; the agent's first listener was closed already.

--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -184,7 +184,8 @@
 }
 
 // Start opens the listeners and starts all background work, which ends with Stop. The end of ctx
-// ends all of it at once except for the servers and the notifier.
+// ends all of it at once except for the servers and the notifier. If a listener fails, nothing is left
+// open.
 func (d *Distributor) Start(ctx context.Context) error {
 	s := d.c.Settings
 	ctx, d.cancel = context.WithCancel(ctx)
@@ -207,6 +208,8 @@
 	}
 	for _, l := range listeners {
 		if err := d.serve(ctx, l); err != nil {
+			_ = socket.Close()
+			d.closeServers()
 			return errors.Wrap(err, "Distributor.Start")
 		}
 	}
@@ -252,6 +255,12 @@
 	return nil
 }
 
+func (d *Distributor) closeServers() {
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
+
 func (d *Distributor) peersMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+messenger.Path, d.messages)
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -253,7 +253,7 @@
 }
 
 // Start listens and starts all background work, which ends with Stop. The end of the context ends all
-// of it at once except for the servers and the notifier.
+// of it at once except for the servers and the notifier. If a listener fails, nothing is left open.
 func (p *Provisioner) Start(ctx context.Context) error {
 	s := p.c.Settings
 	ctx, p.cancel = context.WithCancel(ctx)
@@ -270,6 +270,8 @@
 	h := &http.Server{Handler: p.mux(), ReadHeaderTimeout: stallTimeout, ErrorLog: zap.NewStdLog(p.c.Log)}
 	p.server = server.Start(listener, h, p.c.Log)
 	if err := p.serveMetrics(ctx); err != nil {
+		_ = socket.Close()
+		p.server.Close()
 		return errors.Wrap(err, "Provisioner.Start")
 	}
 	p.notifier.Start()
