Logger: a line that is logged while the process ends does no harm

What callers saw: a process that was stopping could end in a panic instead of a clean exit, when a goroutine of net/http or of a connection logged its last line after the log was closed.

Cause: Close closed the channel to which lines are sent.

Change: a channel of its own tells the writer to write what still waits and to end; later lines are dropped.

--- a/internal/process/logger/logger.go
+++ b/internal/process/logger/logger.go
@@ -27,7 +27,7 @@
 	IsVerbose bool
 }
 
-// Logger is a zap logger that writes to a bounded buffer. It must not be used after Close.
+// Logger is a zap logger that writes to a bounded buffer. Lines that are logged after Close are dropped.
 type Logger struct {
 	*zap.Logger
 	buffer *buffer
@@ -39,7 +39,7 @@
 	if c.IsVerbose {
 		level = zapcore.DebugLevel
 	}
-	b := &buffer{out: c.Out, lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	b := &buffer{out: c.Out, lines: make(chan []byte, bufferedLines), quit: make(chan struct{}), done: make(chan struct{})}
 	go b.run()
 	encoder := zapcore.EncoderConfig{
 		TimeKey:        "Time",
@@ -55,7 +55,7 @@
 
 // Close writes the buffered lines, waiting for at most closeTimeout.
 func (l *Logger) Close() {
-	close(l.buffer.lines)
+	close(l.buffer.quit)
 	select {
 	case <-l.buffer.done:
 	case <-time.After(closeTimeout):
@@ -66,6 +66,7 @@
 type buffer struct {
 	out     io.Writer
 	lines   chan []byte
+	quit    chan struct{} // closed by Close
 	done    chan struct{}
 	dropped atomic.Int64
 	second  atomic.Int64 // Unix time of the second that count refers to
@@ -97,19 +98,31 @@
 	return nil
 }
 
+// run writes lines until quit is closed, and then those that still wait.
 func (b *buffer) run() {
 	defer close(b.done)
-	for line := range b.lines {
-		if dropped := b.dropped.Swap(0); dropped > 0 {
-			line = append(line, fmt.Sprintf(`{"Level":"WARN","Message":"log: lines were dropped","Count":%d}`+"\n", dropped)...)
-		}
-		if _, err := b.out.Write(line); err != nil {
-			// A failed write cannot be logged; later lines may succeed.
-			continue
+	for {
+		select {
+		case line := <-b.lines:
+			b.writeOut(line)
+		case <-b.quit:
+			for len(b.lines) > 0 {
+				b.writeOut(<-b.lines)
+			}
+			return
 		}
 	}
 }
 
+// writeOut writes a line, and the number of lines that were dropped. A failed write cannot be logged;
+// later lines may succeed.
+func (b *buffer) writeOut(line []byte) {
+	if dropped := b.dropped.Swap(0); dropped > 0 {
+		line = append(line, fmt.Sprintf(`{"Level":"WARN","Message":"log: lines were dropped","Count":%d}`+"\n", dropped)...)
+	}
+	_, _ = b.out.Write(line)
+}
+
 // errorTextCore writes errors as their message only, without stack traces.
 type errorTextCore struct {
 	zapcore.Core
