Delay estimator: a datagram that was overtaken is not lost

What callers saw: where datagrams overtake each other, links counted as congested: calls avoided the engines behind them, and transfers of weights slowed down there, without a queue or a loss.

Cause: an overtaken datagram took the sequence number back, as after a restart of the sender, so that the one that had overtaken it counted as missing as well; and it stayed missing itself although it had come.

Evidence: TestReorderedDatagrams failed in five of eight cases: "have a delay of 60ms with 0 of 10 datagrams lost, want congested: false". With four of ten lost the link counts as congested before and after.

Change: only a number 16 or more below the highest means a restart; a late datagram takes back the loss recorded for it.

--- a/internal/connection/delayestimator/delayestimator.go
+++ b/internal/connection/delayestimator/delayestimator.go
@@ -25,6 +25,8 @@
 	maxSamples = 32
 	// maxGap limits the missing datagrams that are counted for one gap in the sequence numbers.
 	maxGap = 8
+	// maxReordering is the number of sequence numbers by which a datagram may be overtaken.
+	maxReordering = 16
 	// senderQuantile and localQuantile are the quantiles of the samples that are reported. A few
 	// datagrams that are late or lost by chance do not indicate a congested link.
 	senderQuantile = 0.75
@@ -47,15 +49,17 @@
 	currentMin    time.Duration // smallest difference in the current window
 	windowStart   time.Time     // of the current window
 	hasPrevious   bool
-	sequence      int64 // of the last datagram
+	sequence      int64 // highest of the datagrams
 	samples       []sample
 	lastArrivalAt time.Time
 }
 
 // sample is the queueing delay of one datagram.
 type sample struct {
-	at    time.Time
-	delay time.Duration
+	at       time.Time
+	delay    time.Duration
+	sequence int64
+	isLoss   bool
 }
 
 // New returns an estimator without samples.
@@ -88,16 +92,19 @@
 		base = min(base, s.previousMin)
 	}
 	s.recordGap(now, stamp.Sequence)
-	s.add(sample{at: now, delay: difference - base})
+	s.add(sample{at: now, delay: difference - base, sequence: stamp.Sequence})
 	s.lastArrivalAt = now
 }
 
-// recordGap records the datagrams that are missing before this one. A sequence number below the last
-// one is taken for a restart of the sender, and records none.
+// recordGap records the datagrams that are missing before this one. One that was overtaken is no longer
+// missing. A sequence number far below the highest is taken for a restart of the sender.
 func (s *sender) recordGap(now time.Time, sequence int64) {
-	missing := min(sequence-s.sequence-1, maxGap)
-	for range missing {
-		s.add(sample{at: now, delay: lossDelay})
+	if sequence <= s.sequence && sequence > s.sequence-maxReordering {
+		s.samples = slices.DeleteFunc(s.samples, func(entry sample) bool { return entry.isLoss && entry.sequence == sequence })
+		return
+	}
+	for missing := max(s.sequence+1, sequence-maxGap); missing < sequence; missing++ {
+		s.add(sample{at: now, delay: lossDelay, sequence: missing, isLoss: true})
 	}
 	s.sequence = sequence
 }
--- a/internal/connection/delayestimator/delayestimator_test.go
+++ b/internal/connection/delayestimator/delayestimator_test.go
@@ -94,6 +94,43 @@
 	}
 }
 
+// TestReorderedDatagrams has datagrams overtake each other. They are not lost, whether or not others are.
+func TestReorderedDatagrams(t *testing.T) {
+	const interval = 20 * time.Millisecond
+	tests := []struct {
+		name  string
+		order []int64 // in which each ten datagrams arrive
+		want  int     // of ten samples, those of lost datagrams
+	}{
+		{"in order", []int64{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, 0},
+		{"each second pair", []int64{1, 0, 2, 3, 5, 4, 6, 7, 9, 8}, 0},
+		{"all pairs", []int64{1, 0, 3, 2, 5, 4, 7, 6, 9, 8}, 0},
+		{"one is last", []int64{1, 2, 3, 4, 5, 6, 7, 0, 8, 9}, 0},
+		{"backwards", []int64{7, 6, 5, 4, 3, 2, 1, 0, 8, 9}, 0},
+		{"twice", []int64{0, 1, 1, 2, 3, 4, 5, 5, 5, 6, 7, 8, 9}, 0},
+		{"pairs and one lost", []int64{1, 0, 3, 2, 4, 7, 6, 9, 8}, 1},
+		{"pairs and four lost", []int64{1, 0, 4, 3, 8, 7}, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := delayestimator.New()
+			start := time.Unix(1000, 0)
+			at := time.Duration(0)
+			for round := range int64(20) {
+				for _, n := range tt.order {
+					at += interval
+					g.Observe(start.Add(at), machine(1), delayestimator.Stamp{Sequence: 10*round + n + 1, Sent: at}, at)
+				}
+			}
+			// Rounds are shorter than the samples' lifetime, and their share is that of any ten in a row.
+			have, isKnown := g.SenderDelay(start.Add(at), machine(1))
+			if isCongested := tt.want > 2; !isKnown || (have >= congested) != isCongested || (!isCongested && have != 0) {
+				t.Errorf("have a delay of %s with %d of 10 datagrams lost, want congested: %t", have, tt.want, isCongested)
+			}
+		})
+	}
+}
+
 // TestLocalDelay checks that congestion of one sender's link does not raise the local delay, and
 // that congestion of the receiver's link, which delays the datagrams of all senders, does.
 func TestLocalDelay(t *testing.T) {
