Runner: a call with a key that names no timeout is not cut off after a second

What callers saw: nothing by own entries, which always name one; a sender that leaves TimeoutMillis out, which the protocol allows and which means no limit for other calls, got an unknown outcome after one second.

Cause: the limit of calls with a key was counted from 0 as if it were named.

Evidence: TestAttemptTimeout failed in one of eight cases, "5s of 0s, key k": no whole response.

--- a/internal/request/runner/once.go
+++ b/internal/request/runner/once.go
@@ -43,8 +43,11 @@
 
 // runOnce runs a call and stores its outcome.
 func (r *Runner) runOnce(ctx context.Context, entry *deduplicator.Entry, attempt wire.Attempt, body []byte) {
-	ctx, stop := startCallTimeout(ctx, timeout(attempt))
-	defer stop()
+	if attempt.TimeoutMillis > 0 {
+		var stop func()
+		ctx, stop = startCallTimeout(ctx, timeout(attempt))
+		defer stop()
+	}
 	request, refusal := r.config.Dispatcher.Enqueue(r.item(attempt), attempt.Version, attempt.IsSuspect)
 	if refusal == nil {
 		refusal = r.wait(ctx, request, attempt)
