Simulator's engine: a caller that leaves the queue frees no slot

What the tests saw: engines of the simulator ran more calls than they have slots after callers had left or calls had been taken back, so that overload was milder than it is meant to be.

Cause: a call that left while it waited freed the slot of another one, and later took one that nobody used; calls of a process that had crashed freed slots of the next one.

Evidence: TestSlots failed in two of six cases: "at most 3 of 2 slots in use", "at most 4 of 2".

Change: a call that waits is taken from the queue, and one of an earlier process frees nothing.

Measured: all tests of standin/simulator pass (36 s).

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -31,11 +31,11 @@
 	// CacheSize is the number of prompt prefixes kept in the cache; 0 for no cache.
 	CacheSize int
 	// CacheSaving is the fraction of TimeToFirstToken that a cached prefix saves.
-	CacheSaving  float64
-	ChecksFence  bool
+	CacheSaving float64
+	ChecksFence bool
 	// RefusesOrders makes the engine refuse all orders to serve a version.
 	RefusesOrders bool
-	RestartDelay time.Duration // downtime after a crash
+	RestartDelay  time.Duration // downtime after a crash
 	// MixesVersions makes responses that are in progress continue with the version that is active
 	// now, like an engine that cannot serve two versions at a time.
 	MixesVersions bool
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -56,12 +56,13 @@
 
 	mu             sync.Mutex
 	startedAt      time.Time
+	crashes        int
 	weights        int64
 	loading        int64 // version being loaded; 0 for none, -1 if the staged chunks are not of the ordered version
 	sequence       int64
 	staged         map[int][]byte
 	running        int
-	queue          []*queuedCall
+	queue          []*slotCall
 	isDown         bool
 	silentUntil    time.Time
 	limit          string // calls a second that the responses name; empty for none
@@ -71,9 +72,11 @@
 	endProcess     context.CancelFunc
 }
 
-type queuedCall struct {
+// slotCall is a call that has a slot or waits for one.
+type slotCall struct {
 	urgency int
-	start   chan struct{}
+	start   chan struct{} // closed when the call gets a slot
+	crashes int           // crashes of the engine before the call
 }
 
 // NewSlotEngine returns a running engine.
@@ -91,6 +94,7 @@
 func (e *SlotEngine) Crash(restartDelay time.Duration, isPowerLost bool) {
 	e.mu.Lock()
 	e.endProcess()
+	e.crashes++
 	e.isDown, e.weights, e.loading, e.sequence, e.queue, e.running = true, 0, 0, 0, nil, 0
 	if isPowerLost {
 		e.staged = make(map[int][]byte)
@@ -185,19 +189,19 @@
 	if e.c.OnArrive != nil {
 		e.c.OnArrive(r.Header.Get(HeaderCall), e.c.ID)
 	}
-	start, refusal := e.admit(r)
+	call, refusal := e.admit(r)
 	if refusal != 0 {
 		w.Header().Set(HeaderNotRun, "1")
 		e.writeSignals(w.Header())
 		w.WriteHeader(refusal)
 		return
 	}
-	defer e.releaseSlot()
+	defer e.release(call)
 	e.mu.Lock()
 	ctx, weights := e.processContext, e.weights
 	e.mu.Unlock()
 	select {
-	case <-start:
+	case <-call.start:
 	case <-r.Context().Done():
 		return
 	case <-ctx.Done():
@@ -209,9 +213,9 @@
 	e.stream(ctx, w, r, weights)
 }
 
-// admit assigns a slot to a call or queues it by urgency; start is closed once the call may run. If
-// the engine refuses the call, it returns the status of the refusal instead.
-func (e *SlotEngine) admit(r *http.Request) (start chan struct{}, refusal int) {
+// admit assigns a slot to a call or queues it by urgency. If the engine refuses the call, it returns the
+// status of the refusal instead.
+func (e *SlotEngine) admit(r *http.Request) (call *slotCall, refusal int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	wantedVersion := int64(intOrZero(r.Header.Get(HeaderExpectVersion)))
@@ -221,32 +225,38 @@
 	case time.Now().Before(e.pausedUntil) || e.isDown || e.weights == 0 || e.loading != 0 || len(e.queue) >= maxQueued:
 		return nil, http.StatusServiceUnavailable
 	}
-	start = make(chan struct{})
+	call = &slotCall{urgency: intOrZero(r.Header.Get(HeaderUrgency)), start: make(chan struct{}), crashes: e.crashes}
 	if e.running < e.c.Slots {
 		e.running++
-		close(start)
-		return start, 0
+		close(call.start)
+		return call, 0
 	}
-	call := &queuedCall{urgency: intOrZero(r.Header.Get(HeaderUrgency)), start: start}
-	position := slices.IndexFunc(e.queue, func(other *queuedCall) bool { return other.urgency > call.urgency })
+	position := slices.IndexFunc(e.queue, func(other *slotCall) bool { return other.urgency > call.urgency })
 	if position < 0 {
 		position = len(e.queue)
 	}
 	e.queue = slices.Insert(e.queue, position, call)
-	return start, 0
+	return call, 0
 }
 
-// releaseSlot passes the slot of a call on to the first call in the queue, or frees it.
-func (e *SlotEngine) releaseSlot() {
+// release takes a call that has ended from the queue, or passes its slot on to the first call in the
+// queue, or frees the slot.
+func (e *SlotEngine) release(call *slotCall) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.queue) > 0 {
+	position := slices.Index(e.queue, call)
+	switch {
+	case call.crashes != e.crashes:
+		// All slots were freed by the crash.
+	case position >= 0:
+		e.queue = slices.Delete(e.queue, position, position+1)
+	case len(e.queue) > 0:
 		close(e.queue[0].start)
 		e.queue = e.queue[1:]
-		return
+	default:
+		e.running--
+		e.completeLoadIfIdle()
 	}
-	e.running = max(e.running-1, 0)
-	e.completeLoadIfIdle()
 }
 
 // stream sends the events after the last one that the caller has.
@@ -267,7 +277,7 @@
 		if e.awaitSpeech(r.Context()) != nil {
 			return
 		}
-		if e.crashes(r) {
+		if e.isCrashing(r) {
 			e.Crash(e.c.CrashRestart, false)
 			panic(http.ErrAbortHandler)
 		}
@@ -282,8 +292,8 @@
 	}
 }
 
-// crashes reports whether a call crashes the engine.
-func (e *SlotEngine) crashes(r *http.Request) bool {
+// isCrashing reports whether a call crashes the engine.
+func (e *SlotEngine) isCrashing(r *http.Request) bool {
 	if slices.Contains(e.c.CrashingCalls, r.Header.Get(HeaderCall)) {
 		return true
 	}
@@ -374,25 +384,3 @@
 		}
 	})
 }
-
-// Size of the weights of a release in tests.
-const (
-	// TestChunkCount is the number of chunks of a release, TestChunkBytes the size of each.
-	TestChunkCount = 12
-	TestChunkBytes = 4096
-)
-
-// TestChunk returns the data of a chunk, which differs by version and number.
-func TestChunk(version int64, number int) []byte {
-	return []byte(strings.Repeat(fmt.Sprintf("%7d.%7d.", version, number), TestChunkBytes/16))
-}
-
-// TestManifest returns the manifest of a version of the model "m".
-func TestManifest(version int64) foxtailwharf.Manifest {
-	m := foxtailwharf.Manifest{Model: "m"}
-	for number := range TestChunkCount {
-		data := TestChunk(version, number)
-		m.Chunks = append(m.Chunks, foxtailwharf.Chunk{Digest: foxtailwharf.Digest(data), Size: int64(len(data))})
-	}
-	return m
-}
