SIGHUP during the shutdown ends no calls

What callers would see: an entry that gets SIGTERM and, within the time of its shutdown, SIGHUP, ends at once. All calls in progress break off, whole requests that were read are lost, and the load balancer has not noticed yet.

Cause: settingsLogger stopped catching SIGHUP when the shutdown began (signal.Stop), which restores the default effect of the signal: it ends the process.

Evidence: TestHangupDuringShutdown with a real process, before: "the entry has ended within a second of SIGTERM, while it still takes calls" and "signal: hangup, want a graceful shutdown".

The signal stays caught until the process ends.

--- a/cmd/foxtailwharf/fleet.go
+++ b/cmd/foxtailwharf/fleet.go
@@ -120,7 +120,8 @@
 }
 
 // settingsLogger reads the settings at each SIGHUP and logs them. None of the settings can change
-// while the process runs, so that changes take effect at the next start.
+// while the process runs, so that changes take effect at the next start. During the shutdown SIGHUP
+// has no effect.
 type settingsLogger struct {
 	file     settingsFlag
 	settings foxtailwharf.FleetSettings
@@ -136,7 +137,7 @@
 		case <-l.hangups:
 			l.reload()
 		case <-ctx.Done():
-			signal.Stop(l.hangups)
+			// The signal stays caught, since it would end the process before the calls in progress.
 			return
 		}
 	}
