The end of an answer does not meet the write deadline of its last part

What callers would see: a stream whose end comes over 30 s after its last event breaks off before its end, and a stream without events that ends over 30 s after its admission gets no answer at all, though its upstream has sent it whole.

Cause: each write to the caller gets 30 s from when it begins; net/http writes the end of a stream, and the head of one without events, once the handler has returned, under the deadline of the write before.

Evidence: TestEndLongAfterLastWrite, two of five cases failed before: "unexpected EOF" after event 3, and "have 0, EOF". A late event, a late buffered answer and a late refusal were right already.

The end gets a deadline of its own. Deadlines that are left from one request to the next on a kept connection were looked for as well: there are none, net/http takes both back before it waits for the next request (shown by a trial with four kinds of requests).

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -314,6 +314,8 @@
 			if !x.progress.advance() {
 				return unknown, balancer.Stalled
 			}
+			// net/http writes the end, and the head of a stream without events, once the handler has returned.
+			x.boundWrite()
 			x.beginStream(a.answer.Status, header)
 			x.f.clearSuspicion(x.digest)
 			return delivered, balancer.Answered
