New calls wait while all engines are silent and may go on

What callers saw: a silence of under a second of all engines of a service, which their agents report as down after 0.4 s, had every new call refused at once ("not run"), though sound engines go on a moment later.

Cause: an upstream that is reported down is no candidate, and a call without candidates is refused. Reports did not tell an engine that has ended, and refuses connections, from one that has not answered in time.

Agents report IsSilent beside IsDown if the poll has timed out. A call that only silent engines could take waits until 2 s after the first such report, or until its own time for waiting is over; then it is refused. Engines that refuse connections, and those of older agents, count as ended at once, as before.

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -208,6 +208,7 @@
 		Queued:              report.Queued,
 		IsLoading:           report.IsLoading,
 		IsDown:              report.IsDown,
+		IsSilent:            report.IsSilent,
 		Listeners:           report.Listeners,
 		PendingPromptTokens: float64(report.ReadingTokens),
 		Slowness:            report.Slowness,
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -104,7 +104,7 @@
 	r.p.mu.Lock()
 	r.p.load.Born, r.p.load.Weights = r.state.Born, r.state.Weights
 	r.p.load.Running, r.p.load.Queued = r.state.Running, r.state.Queued
-	r.p.load.IsDown = isDown
+	r.p.load.IsDown, r.p.load.IsSilent = isDown, isDown && ctx.Err() != nil
 	r.p.load.Slowness = r.state.Slowness
 	r.p.estimator.Observe(time.Now(), r.state.Running+r.state.Queued)
 	r.p.mu.Unlock()
@@ -168,7 +168,7 @@
 // isUrgent reports whether the reports differ in a way that affects whether the engine can take
 // calls.
 func isUrgent(a, b wire.FleetReport) bool {
-	return a.IsLoading != b.IsLoading || a.IsDown != b.IsDown || a.Weights != b.Weights || a.BornMillis != b.BornMillis
+	return a.IsLoading != b.IsLoading || a.IsDown != b.IsDown || a.IsSilent != b.IsSilent || a.Weights != b.Weights || a.BornMillis != b.BornMillis
 }
 
 // isSame reports whether two reports agree on the engine's state, its load and the list of agents.
@@ -191,6 +191,7 @@
 		Slowness:        p.load.Slowness,
 		IsLoading:       p.load.IsLoading,
 		IsDown:          p.load.IsDown,
+		IsSilent:        p.load.IsSilent,
 		Digest:          p.digest,
 		LinkDelayMillis: p.adjustTransfers(now).Milliseconds(),
 		// An entry with an older list does not send it to this agent.
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -4,7 +4,6 @@
 package assigner
 
 import (
-	"context"
 	"net/netip"
 	"sync"
 	"time"
@@ -28,9 +27,6 @@
 // also appears with time, when a backoff or a backlog of prompts ends.
 const maxDispatchPause = 20 * time.Millisecond
 
-// maxPermitWait is how long a call waits for a permit for a better upstream before it goes elsewhere.
-const maxPermitWait = 25 * time.Millisecond
-
 // Assigner assigns upstreams to calls. It is safe for concurrent use.
 type Assigner struct {
 	mu           sync.Mutex
@@ -48,6 +44,8 @@
 	id      uint64
 	request Request
 	ended   chan assignment
+	// checkAt is when to check whether the call may still wait, at WaitUntil at the latest.
+	checkAt time.Time
 }
 
 // assignment ends the wait of a call: with an upstream, or with a refusal.
@@ -146,30 +144,6 @@
 	})
 }
 
-// awaitPermit asks for a permit if the call would rather be sent to an upstream that has named a limit,
-// and waits for the answer. Where calls are few, a permit that arrives later would find none.
-func (a *Assigner) awaitPermit(ctx context.Context, requirements balancer.Requirements) {
-	a.mu.Lock()
-	id := a.balancer.AskFor(time.Now(), requirements)
-	if id == "" {
-		a.mu.Unlock()
-		return
-	}
-	answered, isAwaited := a.asked[id]
-	if !isAwaited {
-		answered = make(chan struct{})
-		a.asked[id] = answered
-	}
-	a.mu.Unlock()
-	timer := time.NewTimer(maxPermitWait)
-	defer timer.Stop()
-	select {
-	case <-answered:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Limited returns the number of upstreams that have named a limit.
 func (a *Assigner) Limited() int {
 	a.mu.Lock()
@@ -241,60 +215,15 @@
 	return a.balancer.StartDeadline(time.Now(), u)
 }
 
-// Acquire waits for an upstream and counts the call as sent to it. The caller must report the end
-// of the call with Finished. It returns a refusal if no upstream is eligible, or if none has had
-// capacity when the wait or the context ends.
-func (a *Assigner) Acquire(ctx context.Context, request Request) (foxtailwharf.Upstream, *foxtailwharf.Refusal) {
-	a.awaitPermit(ctx, request.Requirements)
-	w, u, refusal := a.enqueue(request)
-	if w == nil {
-		return u, refusal
-	}
-	timer := time.NewTimer(time.Until(request.WaitUntil))
-	defer timer.Stop()
-	select {
-	case end := <-w.ended:
-		return end.upstream, end.refusal
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return a.cancelWait(w)
-}
-
-// enqueue returns an upstream if one has capacity, a refusal if none is eligible, and else the
-// waiter that it has added to the queue.
-func (a *Assigner) enqueue(request Request) (*waiter, foxtailwharf.Upstream, *foxtailwharf.Refusal) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := time.Now()
-	if !a.balancer.HasCandidates(now, request.Requirements) {
-		if refusal := a.refusal(now, request); refusal != nil {
-			return nil, foxtailwharf.Upstream{}, refusal
-		}
-		if a.balancer.FirstReturn(now, request.Requirements).IsZero() {
-			return nil, foxtailwharf.Upstream{}, foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "no upstream is eligible for the call")
-		}
-	}
-	a.lastID++
-	w := &waiter{id: a.lastID, request: request, ended: make(chan assignment, 1)}
-	a.waiters[a.lastID] = w
-	a.queue.Add(queuer.Item{ID: a.lastID, Service: request.Requirements.Service, Rank: request.Rank, Arrived: request.Arrived, StartBy: request.StartBy})
-	a.dispatch(now)
-	select {
-	case end := <-w.ended:
-		return nil, end.upstream, end.refusal
-	default:
-		return w, foxtailwharf.Upstream{}, nil
-	}
-}
-
 // refusal returns the refusal of a call that has no candidates if what upstreams have said of themselves
-// is the cause, else nil. The lock must be held.
+// is the cause, else nil. While a silent upstream may go on it is not certain. The lock must be held.
 func (a *Assigner) refusal(now time.Time, request Request) *foxtailwharf.Refusal {
 	firstReturn := a.balancer.FirstReturn(now, request.Requirements)
 	switch {
 	case !firstReturn.IsZero() && firstReturn.Before(request.WaitUntil):
 		return nil
+	case !a.balancer.SilenceEnd(now, request.Requirements).IsZero():
+		return nil
 	case a.balancer.IsLimited(now, request.Requirements):
 		return foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "all upstreams are at the limits that they have named")
 	case !firstReturn.IsZero():
@@ -326,20 +255,6 @@
 	return a.pausedRefusal(now, firstReturn, request.Deadline)
 }
 
-// cancelWait removes a call from the queue, unless it was assigned an upstream meanwhile.
-func (a *Assigner) cancelWait(w *waiter) (foxtailwharf.Upstream, *foxtailwharf.Refusal) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	select {
-	case end := <-w.ended:
-		return end.upstream, end.refusal
-	default:
-	}
-	a.queue.Remove(w.id)
-	delete(a.waiters, w.id)
-	return foxtailwharf.Upstream{}, foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "no upstream had capacity in time")
-}
-
 // dispatch assigns all free capacity, and sees to it that the end of a pause is noticed. The lock must be
 // held.
 func (a *Assigner) dispatch(now time.Time) {
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -191,6 +191,7 @@
 	if isOtherRun {
 		u.statement = b.statementOf(u.current())
 	}
+	u.recordDown(now, isOtherRun)
 	u.reportedAt = now
 	u.othersInFlight = max(float64(load.Running+load.Queued-u.ownInFlight), 0)
 	u.sentSinceReport = 0
@@ -268,30 +269,3 @@
 	u := b.byID[id]
 	return u != nil && u.load.IsLoading && u.reportAge(now) < stateLifetime
 }
-
-// HasEnded reports whether a younger upstream is listed under the upstream's ID or at its address, or a
-// recent report says that it was restarted after born. It is false for upstreams that are not listed.
-func (b *Balancer) HasEnded(now time.Time, id string, born time.Time) bool {
-	u := b.byID[id]
-	switch {
-	case u == nil:
-		return false
-	case u.isReplaced || u.Born.After(born):
-		return true
-	default:
-		return u.reportAge(now) <= loadLifetime && !u.load.Born.IsZero() && u.load.Born.After(born)
-	}
-}
-
-// IsSuspect reports whether a recent report says that an upstream does not answer its agent. It may be
-// silent for a while, or take no new connections, and still answer the calls that it has.
-func (b *Balancer) IsSuspect(now time.Time, id string) bool {
-	u := b.byID[id]
-	return u != nil && u.reportAge(now) <= loadLifetime && u.load.IsDown && !u.IsDraining && !u.isLeaving
-}
-
-// IsLost reports whether an upstream has ended or is a suspect. Together with a broken connection this tells
-// that it has crashed.
-func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
-	return b.HasEnded(now, id, born) || b.IsSuspect(now, id)
-}
--- a/internal/request/balancer/limit.go
+++ b/internal/request/balancer/limit.go
@@ -215,7 +215,7 @@
 func (b *Balancer) IsLimited(now time.Time, req Requirements) (isLimited bool) {
 	p := picker{b: b, now: now, req: &req, oldestAllowed: b.oldestAllowed(now, req.Service)}
 	for _, u := range b.byService[req.Service] {
-		if !p.isEligible(u, u.reportAge(now)) || !u.pause.end(now).IsZero() {
+		if age := u.reportAge(now); !p.isEligible(u, age) || !u.isReady(age) || !u.pause.end(now).IsZero() {
 			continue
 		}
 		if u.limit == nil || !u.limit.retryAt.After(now) || u.limit.hasPermit(now) {
--- a/internal/request/balancer/pause.go
+++ b/internal/request/balancer/pause.go
@@ -134,6 +134,14 @@
 	return a
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // FirstReturn returns when the first of the upstreams that could take a call but for their pauses may get
 // one; zero if there is none.
 func (b *Balancer) FirstReturn(now time.Time, req Requirements) time.Time {
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -82,6 +82,7 @@
 	limitedIn   group
 	limitedCost float64
 	firstReturn time.Time // when the first of those that have a pause may get a call; zero for none
+	silenceEnd  time.Time // until when one that does not answer its agent may be sound; zero for none
 }
 
 // HasCandidates reports whether an upstream of the service is eligible for the call, whatever its load.
@@ -120,6 +121,10 @@
 	if !p.isEligible(u, age) {
 		return
 	}
+	if !u.isReady(age) {
+		p.silenceEnd = latest(p.silenceEnd, u.silenceEnd(p.now))
+		return
+	}
 	if end := u.pause.end(p.now); !end.IsZero() {
 		p.firstReturn = earliest(p.firstReturn, end)
 		return
@@ -260,15 +265,12 @@
 	return u != nil && b.hasFreeShare(u, float64(u.Slots), isOnlyWaiting)
 }
 
-// isEligible reports whether the upstream may get the call at all, regardless of its load.
+// isEligible reports whether the upstream may get the call at all, once it is ready and regardless of its load.
 func (p *picker) isEligible(u *upstream, age time.Duration) bool {
 	if u.IsDraining || u.isReplaced || u.isLeaving || p.req.Exclude[u.ID] {
 		return false
 	}
-	if p.req.NeedsWeights && !p.hasAllowedWeights(u, age) {
-		return false
-	}
-	return age >= stateLifetime || (!u.load.IsDown && !u.load.IsLoading)
+	return !p.req.NeedsWeights || p.hasAllowedWeights(u, age)
 }
 
 func (p *picker) hasAllowedWeights(u *upstream, age time.Duration) bool {
--- /dev/null
+++ b/internal/request/balancer/suspicion.go
@@ -0,0 +1,59 @@
+package balancer
+
+import "time"
+
+// maxSilence is how long a sound upstream may fail to answer its agent, from the first report of it.
+const maxSilence = 2 * time.Second
+
+// HasEnded reports whether a younger upstream is listed under the upstream's ID or at its address, or a
+// recent report says that it was restarted after born. It is false for upstreams that are not listed.
+func (b *Balancer) HasEnded(now time.Time, id string, born time.Time) bool {
+	u := b.byID[id]
+	switch {
+	case u == nil:
+		return false
+	case u.isReplaced || u.Born.After(born):
+		return true
+	default:
+		return u.reportAge(now) <= loadLifetime && !u.load.Born.IsZero() && u.load.Born.After(born)
+	}
+}
+
+// IsSuspect reports whether a recent report says that an upstream does not answer its agent. It may be
+// silent for a while, or take no new connections, and still answer the calls that it has.
+func (b *Balancer) IsSuspect(now time.Time, id string) bool {
+	u := b.byID[id]
+	return u != nil && u.reportAge(now) <= loadLifetime && u.load.IsDown && !u.IsDraining && !u.isLeaving
+}
+
+// IsLost reports whether an upstream has ended or is a suspect. Together with a broken connection this tells
+// that it has crashed.
+func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
+	return b.HasEnded(now, id, born) || b.IsSuspect(now, id)
+}
+
+// SilenceEnd returns until when an upstream may go on that could take the call but does not answer its agent; zero
+// if none may.
+func (b *Balancer) SilenceEnd(now time.Time, req Requirements) time.Time {
+	return b.newPicker(now, &req).silenceEnd
+}
+
+// recordDown records since when the reports of a run say that it is down.
+func (u *upstream) recordDown(now time.Time, isOtherRun bool) {
+	switch {
+	case !u.load.IsDown:
+		u.downSince = time.Time{}
+	case u.downSince.IsZero() || isOtherRun:
+		u.downSince = now
+	}
+}
+
+// silenceEnd returns until when an upstream that does not answer its agent in time may be sound; zero if it
+// answers, is known to be down, or has been silent for longer than a sound one.
+func (u *upstream) silenceEnd(now time.Time) time.Time {
+	end := u.downSince.Add(maxSilence)
+	if !u.load.IsDown || !u.load.IsSilent || u.load.IsLoading || !now.Before(end) {
+		return time.Time{}
+	}
+	return end
+}
--- a/internal/request/balancer/upstream.go
+++ b/internal/request/balancer/upstream.go
@@ -40,6 +40,7 @@
 	isReplaced        bool // a younger upstream is listed at its address
 	load              foxtailwharf.UpstreamLoad
 	reportedAt        time.Time // zero before the first report
+	downSince         time.Time // first of the reports in a row that say that it is down; zero if the last one does not
 	othersInFlight    float64   // calls of other entries at the last report
 	sentSinceReport   int       // own calls sent less those ended; may be negative
 	shareRounding     float64   // random in [0, 1), drawn with each report
@@ -94,6 +95,11 @@
 	return time.Duration(tokens / req.ReadPace * max(u.load.Slowness, 1) * float64(time.Second))
 }
 
+// isReady reports whether the upstream answers its agent and loads no weights, as far as a recent report tells.
+func (u *upstream) isReady(age time.Duration) bool {
+	return age >= stateLifetime || (!u.load.IsDown && !u.load.IsLoading)
+}
+
 // weights returns the version that an upstream holds, from its agent's report if that is recent,
 // else from the list.
 func (u *upstream) weights(age time.Duration) int64 {
--- a/upstream.go
+++ b/upstream.go
@@ -27,6 +27,8 @@
 	Queued    int
 	IsLoading bool // takes no new calls until the weights are loaded
 	IsDown    bool // does not answer the agent
+	// IsSilent is true if it is down because no answer came in time. It may be sound and go on.
+	IsSilent bool
 	// PendingPromptTokens is the estimated number of prompt tokens that the upstream has yet to read.
 	PendingPromptTokens float64
 	// Slowness is the factor by which the upstream is slower than usual; 0 if it does not report one.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -474,6 +474,9 @@
 	// takes nothing new until the weights are loaded
 	IsLoading bool `json:"IsLoading,omitempty,omitzero"`
 
+	// with IsDown: it has not answered in time, and may only be silent
+	IsSilent bool `json:"IsSilent,omitempty,omitzero"`
+
 	// how long what is sent to the machine waits on its link
 	LinkDelayMillis int64 `json:"LinkDelayMillis,omitempty,omitzero"`
 
