A broken connection to a silent engine is no crash yet

What callers would see: parts of the prompts of sound calls come under suspicion, and may be banned with others, since their connection broke at an engine that was silent for a moment and has not crashed.

Cause: Balancer.IsLost, which confirms a crash, took any engine that does not answer its agent for one that has ended.

A crash is confirmed by a younger run, by refused connections, or by a silence of over 2 s, within the 5 s for which a broken connection waits for its explanation. Real crashes are confirmed as soon as before where the engine refuses connections.

--- a/internal/request/balancer/suspicion.go
+++ b/internal/request/balancer/suspicion.go
@@ -26,10 +26,13 @@
 	return u != nil && u.reportAge(now) <= loadLifetime && u.load.IsDown && !u.IsDraining && !u.isLeaving
 }
 
-// IsLost reports whether an upstream has ended or is a suspect. Together with a broken connection this tells
-// that it has crashed.
+// IsLost reports whether an upstream has ended, or does not answer its agent and is not silent as a sound one may
+// be. Together with a broken connection this tells that it has crashed.
 func (b *Balancer) IsLost(now time.Time, id string, born time.Time) bool {
-	return b.HasEnded(now, id, born) || b.IsSuspect(now, id)
+	if b.HasEnded(now, id, born) {
+		return true
+	}
+	return b.IsSuspect(now, id) && b.byID[id].silenceEnd(now).IsZero()
 }
 
 // SilenceEnd returns until when an upstream may go on that could take the call but does not answer its agent; zero
--- a/internal/request/forwarder/silentengine_test.go
+++ b/internal/request/forwarder/silentengine_test.go
@@ -104,3 +104,53 @@
 	}
 	b.update()
 }
+
+// TestBrokenConnectionToSilentEngine guards against the parts of sound calls that come under suspicion, since one
+// connection to a silent engine broke, and checks that the end of an engine still counts as a crash.
+func TestBrokenConnectionToSilentEngine(t *testing.T) {
+	born := time.Unix(0, 0)
+	silent := foxtailwharf.UpstreamLoad{Born: born, Weights: 1, IsDown: true, IsSilent: true}
+	tests := []struct {
+		name    string
+		after   foxtailwharf.UpstreamLoad // a second after the connection broke
+		crashes int
+	}{
+		{"goes on", foxtailwharf.UpstreamLoad{Born: born, Weights: 1}, 0},
+		{"refuses connections", foxtailwharf.UpstreamLoad{Born: born, Weights: 1, IsDown: true}, 1},
+		{"has started anew", foxtailwharf.UpstreamLoad{Born: born.Add(time.Hour), Weights: 1}, 1},
+		{"stays silent", silent, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.serveEngines(0)
+				b.upstream(2, after(500*time.Millisecond, breakOff))
+				b.view.Upstreams[0].Weights, b.view.Upstreams[0].Born = 1, born
+				b.update()
+				r := b.report(func(elapsed time.Duration) foxtailwharf.UpstreamLoad {
+					switch {
+					case elapsed < 200*time.Millisecond:
+						return foxtailwharf.UpstreamLoad{Born: born, Weights: 1}
+					case elapsed < 1500*time.Millisecond:
+						return silent
+					default:
+						return tt.after
+					}
+				})
+				defer r.close()
+				time.Sleep(time.Millisecond)
+				b.call("/tale/1", func(r *http.Request) { r.Header.Set(standin.HeaderPromptParts, "first,second") })
+				crashed := make(map[string]bool)
+				for range 40 {
+					for _, c := range b.forwarder.Isolate(true).Crashes {
+						crashed[c.Upstream] = true
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if len(crashed) != tt.crashes {
+					t.Errorf("%d crashes were found, want %d", len(crashed), tt.crashes)
+				}
+			})
+		})
+	}
+}
