A silent upstream is given up only for an answer that has begun, and no server error is lost

What callers saw, beside a silence of 2 s after which the upstream goes on: a stream breaks off after its third event, or a call gets a 502, since another upstream had sent comments, had started the stream again from its first event, or had ended without an event and without a length. And: a call gets a 502 though the second upstream had answered with its own server error, which came before the first one broke off or was given up.

Cause: the search took the first byte of a body for the beginning of the answer, and ended the first attempt for it; whether the event continues the stream was checked afterwards. A server error that came while the first upstream was silent was dropped.

The search reads to the first event with data or an ID, and keeps what it has read; an event that the caller has already, or an end without length, ends the second attempt instead. A server error is read whole and kept in case no attempt succeeds.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -1,12 +1,9 @@
 package forwarder
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +14,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/requester"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 )
 
 const (
@@ -45,6 +42,7 @@
 	cancel     context.CancelCauseFunc
 	answer     *requester.Response // nil until the head of the answer was read
 	reply      foxtailwharf.Reply
+	events     *eventReader // of a stream; nil until it is read
 	stallTimer *time.Timer
 	checkTimer *time.Timer
 	isDone     atomic.Bool
@@ -72,7 +70,7 @@
 			return o, result
 		}
 	}
-	if a.x.route.Kind == foxtailwharf.CallStream && a.answer.Status == http.StatusOK {
+	if a.isStream() {
 		return a.forwardStream(a.ctx)
 	}
 	return a.forwardBuffered(a.ctx)
@@ -242,13 +240,12 @@
 	if err != nil {
 		return a.handleBroken(ctx, err)
 	}
-	a.x.held = append(a.x.held, body)
+	buffered := a.buffer(body)
 	if a.x.progress.hasHead() || isNotRunStatus(a.answer.Status) {
 		return unknown, balancer.Failed
 	}
-	buffered := &bufferedAnswer{status: a.answer.Status, header: a.x.f.c.Dialect.AnswerHeader(a.answer.Header), body: body.Bytes}
 	if isServerError && (a.x.mayRetryAfterRun() || a.x.progress.hasBackup()) {
-		a.x.errorAnswer = buffered
+		a.x.progress.setErrorAnswer(buffered)
 		return unknown, balancer.Failed
 	}
 	if !a.x.progress.advance() {
@@ -265,6 +262,12 @@
 	return delivered, balancer.Answered
 }
 
+// buffer returns an answer that was read whole, and holds it until the call ends.
+func (a *attempt) buffer(body *collector.Body) *bufferedAnswer {
+	a.x.progress.hold(body)
+	return &bufferedAnswer{status: a.answer.Status, header: a.x.f.c.Dialect.AnswerHeader(a.answer.Header), body: body.Bytes}
+}
+
 // recordPart records that a part of a buffered answer has arrived. A server error ends no search for another
 // upstream.
 func (a *attempt) recordPart(isServerError bool) {
@@ -293,87 +296,6 @@
 	}
 }
 
-// forwardStream forwards complete events as they arrive.
-func (a *attempt) forwardStream(ctx context.Context) (outcome, balancer.Result) {
-	x := a.x
-	if !x.progress.canContinue(a) {
-		a.log("upstream did not resume the stream", zap.String("Type", a.answer.Header.Get("Content-Type")), zap.Int64("Weights", a.reply.Weights))
-		return unknown, balancer.Failed
-	}
-	x.progress.setWeights(a.reply.Weights)
-	header := x.f.c.Dialect.AnswerHeader(a.answer.Header)
-	events := splitter.New(a.answer)
-	resumedAfter := a.resumedAfter()
-	for {
-		event, err := events.Next()
-		switch {
-		case errors.Is(err, io.EOF) && !a.hasEvent.Load() && !a.answer.IsDelimited:
-			// An upstream that crashes before its first event ends the connection as well.
-			return a.handleBroken(ctx, &requester.Error{IsBroken: true, Err: io.ErrUnexpectedEOF})
-		case errors.Is(err, io.EOF):
-			if !x.progress.advance() {
-				return unknown, balancer.Stalled
-			}
-			// net/http writes the end, and the head of a stream without events, once the handler has returned.
-			x.boundWrite()
-			x.beginStream(a.answer.Status, header)
-			x.f.clearSuspicion(x.digest)
-			return delivered, balancer.Answered
-		case err != nil:
-			return a.handleBroken(ctx, err)
-		}
-		if isRepeated(event.ID, resumedAfter) {
-			a.log("upstream started the stream again", zap.String("Event", event.ID), zap.String("LastEvent", resumedAfter))
-			return unknown, balancer.Failed
-		}
-		if !x.progress.advanceStream(event, isEventStream(header)) {
-			return unknown, balancer.Stalled
-		}
-		if event.HasData {
-			a.begin()
-			// A caller that reads slowly does not make the upstream a silent one.
-			a.stallTimer.Stop()
-		}
-		if weights, hasWeights := x.f.c.Dialect.EventWeights(event.Text); hasWeights {
-			x.progress.setWeights(weights)
-		}
-		x.beginStream(a.answer.Status, header)
-		if err := x.writeEvent(event.Text); err != nil {
-			x.log("caller disconnected during its stream", zap.Error(err))
-			return callerGone, balancer.Abandoned
-		}
-		if event.HasData {
-			a.resetStallTimer()
-		}
-	}
-}
-
-// resumedAfter returns the ID of the event after which the answer has to go on; empty if it is to start
-// from the beginning.
-func (a *attempt) resumedAfter() string {
-	if !a.x.route.IsRepeatable() {
-		return ""
-	}
-	return cmp.Or(a.from.lastEvent, a.x.call.LastEventID)
-}
-
-// isRepeated reports whether an event has an ID up to the last one that the caller has. IDs that are no
-// numbers have no order.
-func isRepeated(id, last string) bool {
-	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return false
-	}
-	lastNumber, err := strconv.ParseInt(last, 10, 64)
-	return err == nil && n <= lastNumber
-}
-
-// isEventStream reports whether the body of an answer is a stream of events.
-func isEventStream(header http.Header) bool {
-	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
-	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
-}
-
 func (a *attempt) log(message string, fields ...zap.Field) {
 	a.x.log(message, append(fields, zap.String("Upstream", a.upstream.ID))...)
 }
--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -11,6 +11,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 )
 
 // searchInterval is the time between two searches for another upstream.
@@ -123,23 +124,16 @@
 	// The other upstream may be silent as well, and the call may be allowed a third one.
 	giveUp := time.AfterFunc(a.firstEventLimit()+patience, func() { a.cancel(errSilent) })
 	defer giveUp.Stop()
-	o, result, isAnswered := a.send()
-	if isAnswered {
-		// A head alone shows no more than that the upstream has the call: it may be as silent as the first one.
-		if err := a.answer.AwaitBody(); err != nil {
-			o, result = a.handleBroken(a.ctx, err)
-			isAnswered = false
-		}
+	o, result, isBegun := a.send()
+	if isBegun {
+		o, result, isBegun = a.awaitBegin()
 	}
-	if isAnswered && b.choose(a) {
+	if isBegun && b.choose(a) {
 		b.answered = a
 		return true
 	}
-	if isAnswered {
-		o, result = unknown, balancer.Abandoned
-		if a.answer.Status >= http.StatusInternalServerError {
-			result = balancer.Failed
-		}
+	if isBegun {
+		o, result = unknown, b.drop(a)
 	}
 	if o == unknown {
 		b.x.progress.setUnknown()
@@ -148,6 +142,47 @@
 	return false
 }
 
+// awaitBegin waits for the beginning of the answer. A head alone, or comments of a stream, show no more than that
+// the upstream has the call: it may be as silent as the first one. If the answer begins, the outcome and the result
+// are open.
+func (a *attempt) awaitBegin() (o outcome, result balancer.Result, isBegun bool) {
+	var event splitter.Event
+	var err error
+	if a.isStream() {
+		event, err = a.eventReader().await()
+	} else {
+		err = a.answer.AwaitBody()
+	}
+	switch {
+	case err != nil:
+		o, result = a.handleBroken(a.ctx, err)
+		return o, result, false
+	case isRepeated(event.ID, a.resumedAfter()):
+		a.logRepeated(event.ID)
+		return unknown, balancer.Failed, false
+	default:
+		return o, result, true
+	}
+}
+
+// drop gives up an answer that has begun and is not chosen, and returns the result for its upstream. A server
+// error is kept, since the first upstream may send no answer either.
+func (b *backup) drop(a *attempt) balancer.Result {
+	if a.answer.Status < http.StatusInternalServerError {
+		return balancer.Abandoned
+	}
+	if isNotRunStatus(a.answer.Status) || b.x.progress.hasHead() {
+		return balancer.Failed
+	}
+	body, err := b.x.f.collector.Collect(a.answer, func() {})
+	if err != nil {
+		a.log("server error was not read to its end", zap.Int("Status", a.answer.Status), zap.Error(err))
+		return balancer.Failed
+	}
+	b.x.progress.setErrorAnswer(a.buffer(body))
+	return balancer.Failed
+}
+
 // setSent records that the call is being sent. It returns false if the search has been ended.
 func (b *backup) setSent() bool {
 	b.x.progress.mu.Lock()
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -14,7 +14,6 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/refuser"
 )
@@ -45,15 +44,12 @@
 	cancel                     context.CancelCauseFunc
 
 	progress    progress
-	searches    sync.WaitGroup    // goroutines of backups
-	excluded    map[string]bool   // guarded by progress.mu
-	hasBegun    bool              // the head of a stream was sent
-	queueTime   time.Duration     // from arrival to the start of the last attempt
-	first       time.Duration     // from arrival to the first event of a stream
-	lastEventAt time.Time         // when the last event was written to the caller
-	held        []*collector.Body // answers in memory until the call ends
-	// errorAnswer is a server error of an upstream. It is forwarded if no other attempt succeeds.
-	errorAnswer *bufferedAnswer
+	searches    sync.WaitGroup  // goroutines of backups
+	excluded    map[string]bool // guarded by progress.mu
+	hasBegun    bool            // the head of a stream was sent
+	queueTime   time.Duration   // from arrival to the start of the last attempt
+	first       time.Duration   // from arrival to the first event of a stream
+	lastEventAt time.Time       // when the last event was written to the caller
 }
 
 // bufferedAnswer is an answer that is not a stream and is read whole before it is forwarded.
@@ -93,7 +89,7 @@
 // run makes attempts until one is delivered or the caller disconnects. If no upstream is assigned
 // or the call may not be retried, it ends the call with finish.
 func (x *exchange) run(ctx context.Context) {
-	defer x.release()
+	defer x.progress.release()
 	if len(x.call.PromptParts) > 0 {
 		if remaining := x.f.addPending(x); remaining > 0 {
 			x.refuse(quarantined(remaining))
@@ -192,13 +188,6 @@
 	x.excluded[u.ID] = isSecond || !isPaused
 }
 
-// release gives up the answers that are held in memory.
-func (x *exchange) release() {
-	for _, b := range x.held {
-		b.Release()
-	}
-}
-
 // recordAnswered records the metrics of an answered call.
 func (x *exchange) recordAnswered() {
 	x.f.c.Meter.Increment(meter.CounterAnswered)
@@ -226,8 +215,8 @@
 		// Aborts the connection, so that the caller does not take the truncated answer for
 		// complete.
 		panic(http.ErrAbortHandler)
-	case x.errorAnswer != nil:
-		x.writeBuffered(x.errorAnswer)
+	case x.progress.serverError() != nil:
+		x.writeBuffered(x.progress.serverError())
 	case x.progress.hasUnknown() && !x.route.IsRepeatable():
 		x.refuse(foxtailwharf.OutcomeUnknown(x.unknownReason(ctx), "the call may have run, and its outcome is unknown"))
 	case x.progress.hasUnknown():
--- a/internal/request/forwarder/progress.go
+++ b/internal/request/forwarder/progress.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 )
 
@@ -16,7 +17,10 @@
 	isEventStream bool // that head announces a stream of events
 	lastEvent     string
 	weights       int64
-	backup        *backup // of the attempt under way; nil for none
+	backup        *backup           // of the attempt under way; nil for none
+	held          []*collector.Body // answers in memory until the call ends
+	// errorAnswer is a server error of an upstream. It is forwarded if no other attempt succeeds.
+	errorAnswer *bufferedAnswer
 }
 
 // position is the part of a progress from which another attempt goes on.
@@ -25,6 +29,36 @@
 	weights   int64 // version of the weights that has answered so far; 0 for none
 }
 
+// hold keeps an answer in memory until release.
+func (p *progress) hold(body *collector.Body) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = append(p.held, body)
+}
+
+// release gives up the answers that are held in memory.
+func (p *progress) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.held {
+		b.Release()
+	}
+}
+
+// setErrorAnswer keeps a server error in case no other attempt succeeds.
+func (p *progress) setErrorAnswer(answer *bufferedAnswer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.errorAnswer = answer
+}
+
+// serverError returns the last server error that was kept; nil for none.
+func (p *progress) serverError() *bufferedAnswer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.errorAnswer
+}
+
 // startRun counts an attempt that may run from now on.
 func (p *progress) startRun() {
 	p.mu.Lock()
