A pause that a new run names before it is known as one is kept

What an upstream would see: it starts anew under its ID and address, answers 503 with Retry-After before the list or its agent shows the new start, and gets calls again within that time as soon as they do: more than two, where the users allow two. The same where the list goes back to an earlier run, as after the restore of a store.

Cause: what an upstream says is kept for the run to which the call was sent, by the start that this entry knows; answers do not tell the run.

Evidence, TestPauseEnd before: four of the five new cases failed: "gets a call before 3.5s", "5.5s" and "4s". The fifth (a new run at another address starts without a pause) was right.

A pause that was named after the start of the run that is known now is taken over by it, at the same address. A clock of this entry that is ahead may have a new run inherit the rest of a pause, five minutes at the most. The word that an upstream is leaving is not taken over so, since it has no end.

--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -146,12 +146,16 @@
 	b.byService = make(map[string][]*upstream)
 	b.byMachine = make(map[netip.Addr]*upstream, len(list))
 	for _, listed := range list {
-		u := b.byID[listed.ID]
-		if u == nil || !u.Born.Equal(listed.Born) || u.Address != listed.Address {
+		known := b.byID[listed.ID]
+		u := known
+		if known == nil || !known.Born.Equal(listed.Born) || known.Address != listed.Address {
 			u = &upstream{}
 		}
 		u.Upstream = listed
-		u.statement = b.statementOf(u.current())
+		if known != nil && known.Address == listed.Address {
+			u.statement = known.statement
+		}
+		b.updateStatement(u)
 		u.isReporting = b.reporting == nil || b.reporting[listed.ID]
 		u.isReplaced = false
 		byID[listed.ID] = u
@@ -189,7 +193,7 @@
 	isOtherRun := !load.Born.Equal(u.load.Born)
 	u.load = load
 	if isOtherRun {
-		u.statement = b.statementOf(u.current())
+		b.updateStatement(u)
 	}
 	u.recordDown(now, isOtherRun)
 	u.reportedAt = now
--- a/internal/request/balancer/pause.go
+++ b/internal/request/balancer/pause.go
@@ -29,6 +29,7 @@
 // pause is a time for which a run of an upstream wants no calls of this entry, and the return of the
 // calls after it: one at first, then more with each answer.
 type pause struct {
+	namedAt time.Time // when the upstream has last named it
 	said    time.Time // end of the time for which the upstream wants no calls; zero for no pause
 	until   time.Time // no call is sent before: a random time after said
 	sent    int       // calls sent since until
@@ -80,11 +81,11 @@
 	case !s.pause.said.IsZero() && later <= 0:
 		return 0
 	case s.pause.said.After(now) && later <= pauseTolerance:
-		s.pause.said, s.pause.until = said, s.pause.until.Add(later)
+		s.pause.namedAt, s.pause.said, s.pause.until = now, said, s.pause.until.Add(later)
 		return 0
 	}
 	spread := min(max(time.Duration(returnFraction*float64(length)), minReturnSpread), maxReturnSpread)
-	s.pause = pause{said: said, until: said.Add(b.randomPart(spread)), allowed: 1}
+	s.pause = pause{namedAt: now, said: said, until: said.Add(b.randomPart(spread)), allowed: 1}
 	b.pauses[runOf(sentTo)] = s
 	return length
 }
--- a/internal/request/balancer/pause_test.go
+++ b/internal/request/balancer/pause_test.go
@@ -30,6 +30,8 @@
 	one := listed(1, "near", 1)
 	restarted := one
 	restarted.Born = start.Add(time.Second)
+	moved := restarted
+	moved.Address = listed(2, "near", 1).Address
 	say := func(after, retryAfter time.Duration) func(b *balancer.Balancer) {
 		return func(b *balancer.Balancer) { b.HandleReply(start.Add(after), one, start, pausing(retryAfter)) }
 	}
@@ -60,6 +62,17 @@
 		{"not listed for a time", []func(b *balancer.Balancer){say(0, 2*time.Second), set(), set(one)}, 2 * time.Second},
 		{"a new run", []func(b *balancer.Balancer){say(0, 2*time.Second), set(restarted)}, 0},
 		{"an earlier run", []func(b *balancer.Balancer){set(restarted), say(0, 2*time.Second)}, 0},
+		{"a new run before it is listed", []func(b *balancer.Balancer){say(1500*time.Millisecond, 2*time.Second), set(restarted)}, 3500 * time.Millisecond},
+		{"a new run before its agent reports it", []func(b *balancer.Balancer){say(1500*time.Millisecond, 2*time.Second), func(b *balancer.Balancer) {
+			b.Report(start.Add(1600*time.Millisecond), machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: restarted.Born, Listeners: 1})
+		}}, 3500 * time.Millisecond},
+		{"a new run with a word of its own", []func(b *balancer.Balancer){say(1500*time.Millisecond, 4*time.Second), set(restarted), func(b *balancer.Balancer) {
+			b.HandleReply(start.Add(2*time.Second), restarted, start.Add(2*time.Second), pausing(time.Second))
+		}}, 5500 * time.Millisecond},
+		{"the list goes back to an earlier run", []func(b *balancer.Balancer){set(restarted), func(b *balancer.Balancer) {
+			b.HandleReply(start.Add(2*time.Second), restarted, start.Add(2*time.Second), pausing(2*time.Second))
+		}, set(one)}, 4 * time.Second},
+		{"a new run at another address", []func(b *balancer.Balancer){say(1500*time.Millisecond, 2*time.Second), set(moved)}, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/request/balancer/statement.go
+++ b/internal/request/balancer/statement.go
@@ -78,6 +78,18 @@
 	return s
 }
 
+// updateStatement sets the statement of an upstream to that of its present run. Answers do not tell the run: a pause
+// that was named after the start of that run is its own, though calls were still sent to the run before it.
+func (b *Balancer) updateStatement(u *upstream) {
+	current, last := u.current(), u.statement
+	u.statement = b.statementOf(current)
+	if last == nil || last == u.statement || last.pause.namedAt.Before(current.Born) || !last.pause.said.After(u.pause.said) {
+		return
+	}
+	u.pause = last.pause
+	b.pauses[runOf(current)] = u.statement
+}
+
 // forgetStatements drops empty statements of upstreams that are not listed, and the oldest of the others if
 // they are too many.
 func (b *Balancer) forgetStatements() {
