A ban of a prompt part lasts while calls with it come

What callers saw: each ten minutes the ban of a part that crashes engines ended although calls with it came all the time; engines crashed anew, with all their streams, until the part was banned again.

Cause: a ban counted from the newest crash alone. Since nothing under it runs, there are no crashes, and it ended.

The change: a call under a ban renews it, in steps of a quarter of its length. Entries tell that only to those that decide, who send all bans to all each second. So that a sound part, or one that new weights bear, is not banned for ever, one entry of all lets one call run as a trial after ten minutes, then after twice as long each time, up to four hours: an answer that begins ends the ban everywhere, as before; a crash ends one engine.

--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -39,11 +39,11 @@
 type banSender struct {
 	d    *Distributor
 	done chan struct{}
-	// deciding holds the other entries that decide, and isDeciding is set if this one does, as of
-	// updatedAt. All bans are sent at the same time.
-	deciding   []netip.AddrPort
-	isDeciding bool
-	updatedAt  time.Time
+	// deciding holds the other entries that decide, and role what this one does, as of updatedAt. All bans
+	// are sent at the same time.
+	deciding  []netip.AddrPort
+	role      isolator.Role
+	updatedAt time.Time
 }
 
 func (s *banSender) run(ctx context.Context) {
@@ -51,7 +51,7 @@
 	for sleeper.Sleep(ctx, warnInterval) {
 		if time.Since(s.updatedAt) >= resendInterval {
 			s.updatedAt = time.Now()
-			s.deciding, s.isDeciding = s.d.decidingEntries()
+			s.deciding, s.role = s.d.decidingEntries()
 			s.resendBans(ctx)
 		}
 		s.d.shareBans(ctx)
@@ -108,18 +108,21 @@
 }
 
 // shareEvidence sends the other entries what this one has found out about parts of prompts that crash
-// engines. Proofs are many and go only to the entries that decide, unless they change a ban.
+// engines. Proofs and bans that calls have met are many and go only to the entries that decide, unless proofs
+// change a ban.
 func (s *banSender) shareEvidence(ctx context.Context) {
-	evidence := s.d.forwarder.Isolate(s.isDeciding)
+	evidence := s.d.forwarder.Isolate(s.role)
 	warning := isolator.ToWire(evidence)
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
-	if len(warning.Proofs) > 0 {
+	if len(warning.Proofs)+len(evidence.Met) > 0 {
 		receivers := s.deciding
 		if evidence.IsLifting {
 			receivers = s.d.otherEntries()
 		}
+		withMet := warning
+		withMet.PartBans = append(withMet.PartBans, isolator.BansToWire(evidence.Met)...)
 		for _, to := range receivers {
-			warnings[to] = warning
+			warnings[to] = withMet
 		}
 	}
 	if len(warning.Crashes)+len(warning.PartBans) > 0 {
@@ -137,7 +140,7 @@
 
 // resendBans sends all bans that are in force to all other entries, if this entry is one that decides.
 func (s *banSender) resendBans(ctx context.Context) {
-	if !s.isDeciding {
+	if s.role == isolator.RoleNone {
 		return
 	}
 	f := s.d.forwarder
@@ -157,9 +160,9 @@
 // still.
 const decidersPerDomain = 2
 
-// decidingEntries returns the other entries that decide, and whether this one does. All entries with the
-// same list agree.
-func (d *Distributor) decidingEntries() (others []netip.AddrPort, isDeciding bool) {
+// decidingEntries returns the other entries that decide, and the role of this one. All entries with the same
+// list agree.
+func (d *Distributor) decidingEntries() (others []netip.AddrPort, role isolator.Role) {
 	self := d.c.Settings.PeerAddress(d.c.Settings.Address)
 	byDomain := map[string][]netip.AddrPort{d.c.Settings.FailureDomain: {self}}
 	d.mu.Lock()
@@ -167,12 +170,18 @@
 		byDomain[e.domain] = append(byDomain[e.domain], address)
 	}
 	d.mu.Unlock()
+	byRank := func(a, b netip.AddrPort) int { return cmp.Compare(decidingRank(b), decidingRank(a)) }
 	for _, entries := range byDomain {
-		slices.SortFunc(entries, func(a, b netip.AddrPort) int { return cmp.Compare(decidingRank(b), decidingRank(a)) })
+		slices.SortFunc(entries, byRank)
 		others = append(others, entries[:min(decidersPerDomain, len(entries))]...)
 	}
-	isDeciding = slices.Contains(others, self)
-	return slices.DeleteFunc(others, func(address netip.AddrPort) bool { return address == self }), isDeciding
+	switch {
+	case slices.MinFunc(others, byRank) == self:
+		role = isolator.RoleTries
+	case slices.Contains(others, self):
+		role = isolator.RoleDecides
+	}
+	return slices.DeleteFunc(others, func(address netip.AddrPort) bool { return address == self }), role
 }
 
 // decidingRank orders the entries of a failure domain identically in all processes.
--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -125,7 +125,7 @@
 	}
 	x.call.Body = data
 	x.digest = foxtailwharf.Digest([]byte(x.service.Name + "\n" + x.account + "\n" + x.call.Method + "\n" + x.call.Target + "\n" + string(data)))
-	if remaining := x.f.quarantinedFor(x.digest, x.call.PromptParts); remaining > 0 {
+	if remaining := x.f.meetBan(x); remaining > 0 {
 		return quarantined(remaining)
 	}
 	return nil
--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -91,6 +91,23 @@
 	return max(f.quarantine.BanRemaining(now, digest), f.isolator.BanRemaining(now, parts))
 }
 
+// meetBan records that a call has come and returns how much longer it is banned; 0 if it is not, or if it is
+// a trial.
+func (f *Forwarder) meetBan(x *exchange) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if remaining := f.quarantine.BanRemaining(now, x.digest); remaining > 0 {
+		return remaining
+	}
+	remaining, isTrial := f.isolator.Meet(now, x.call.PromptParts)
+	if x.isTrial = isTrial; isTrial {
+		f.c.Log.Info("quarantine: a banned call runs as a trial", zap.String("Call", x.call.ID), zap.Strings("PromptParts", x.call.PromptParts))
+		return 0
+	}
+	return remaining
+}
+
 // mayCrash reports whether another attempt of a request is likely to crash another upstream.
 func (f *Forwarder) mayCrash(digest string, parts []string) bool {
 	if f.quarantinedFor(digest, parts) > 0 {
@@ -118,7 +135,7 @@
 
 // Isolate weighs the evidence on parts of prompts that crash engines: it confirms crashes and, if this
 // entry decides, bans parts. It returns what other entries have to know.
-func (f *Forwarder) Isolate(isDeciding bool) isolator.Evidence {
+func (f *Forwarder) Isolate(role isolator.Role) isolator.Evidence {
 	now := time.Now()
 	f.mu.Lock()
 	suspected := f.suspected
@@ -140,7 +157,8 @@
 			f.suspected = append(f.suspected, s)
 		}
 	}
-	if isDeciding {
+	f.isolator.SetRole(role)
+	if role != isolator.RoleNone {
 		f.enforce(f.isolator.Decide(now))
 	}
 	return f.isolator.TakeUnsent(now)
@@ -180,7 +198,7 @@
 func (f *Forwarder) addPending(x *exchange) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if remaining := f.isolator.BanRemaining(time.Now(), x.call.PromptParts); remaining > 0 {
+	if remaining := f.isolator.BanRemaining(time.Now(), x.call.PromptParts); remaining > 0 && !x.isTrial {
 		return remaining
 	}
 	f.pending[x] = true
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -39,6 +39,7 @@
 	account  string
 	rank     queuer.Rank
 	digest   string
+	isTrial  bool // runs in spite of a ban
 	// isBodyBegun is set once the body is being read, and hasBodyFailed if that fails.
 	isBodyBegun, hasBodyFailed bool
 	cancel                     context.CancelCauseFunc
@@ -145,7 +146,7 @@
 		return nil
 	}
 	a := newAttempt(x, u, from)
-	if remaining := x.f.quarantinedFor(x.digest, x.call.PromptParts); remaining > 0 {
+	if remaining := x.f.quarantinedFor(x.digest, x.call.PromptParts); remaining > 0 && !x.isTrial {
 		// The end of another banned call may have freed the slot before the ban has ended this one.
 		a.end(ctx, balancer.Abandoned)
 		x.finish(ctx, quarantined(remaining))
--- a/internal/request/forwarder/silentengine_test.go
+++ b/internal/request/forwarder/silentengine_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 )
 
@@ -142,7 +143,7 @@
 				b.call("/tale/1", func(r *http.Request) { r.Header.Set(standin.HeaderPromptParts, "first,second") })
 				crashed := make(map[string]bool)
 				for range 40 {
-					for _, c := range b.forwarder.Isolate(true).Crashes {
+					for _, c := range b.forwarder.Isolate(isolator.RoleDecides).Crashes {
 						crashed[c.Upstream] = true
 					}
 					time.Sleep(100 * time.Millisecond)
--- a/internal/request/isolator/ban.go
+++ b/internal/request/isolator/ban.go
@@ -6,11 +6,23 @@
 	"time"
 )
 
+const (
+	// maxTrialPause is the longest pause between two trials of a ban.
+	maxTrialPause = 4 * time.Hour
+	// renewalFraction is the fraction of a ban's length that must be over before a call under it renews it. The
+	// other entries are told of each renewal.
+	renewalFraction = 0.25
+)
+
 // ban is a ban of the calls that have all of some parts: those that the evidence could not tell apart.
 type ban struct {
-	parts     []string // sorted
-	until     time.Time
+	parts     []string  // sorted
+	until     time.Time // later while calls under the ban come
 	crashedAt time.Time // newest crash that is held against the parts
+	// trialAt is when a call may run in spite of the ban, as a trial whether the parts still crash engines,
+	// and trialPause the time until the trial after it.
+	trialAt    time.Time
+	trialPause time.Duration
 }
 
 // key identifies a ban by its parts.
@@ -35,10 +47,24 @@
 // renew makes the ban count from a crash.
 func (b *ban) renew(at time.Time, length time.Duration) {
 	if at.After(b.crashedAt) {
-		b.crashedAt, b.until = at, at.Add(length)
+		b.crashedAt = at
+		b.prolong(at.Add(length))
+	}
+}
+
+// prolong makes the ban last until a time at least.
+func (b *ban) prolong(until time.Time) {
+	if until.After(b.until) {
+		b.until = until
 	}
 }
 
+// recordTrial records that a call runs in spite of the ban. The pauses between trials grow.
+func (b *ban) recordTrial(now time.Time) {
+	b.trialPause = min(2*b.trialPause, maxTrialPause)
+	b.trialAt = now.Add(b.trialPause)
+}
+
 // report returns the ban as it is sent to other entries.
 func (b *ban) report(now time.Time) Ban {
 	return Ban{Parts: b.parts, Age: now.Sub(b.crashedAt), Remaining: b.until.Sub(now)}
@@ -64,6 +90,32 @@
 	return remaining
 }
 
+// Meet records that a call with these parts has come. A ban lasts as long as calls under it come. It returns
+// how much longer the call is banned, 0 if it is not, and whether it may run nevertheless, once and as a
+// trial.
+func (i *Isolator) Meet(now time.Time, parts []string) (remaining time.Duration, isTrial bool) {
+	isTrial = i.role == RoleTries
+	for key, b := range i.bans {
+		if !b.covers(parts) || !b.until.After(now) {
+			continue
+		}
+		isTrial = isTrial && !now.Before(b.trialAt)
+		if until := now.Add(i.c.BanTime); until.Sub(b.until).Seconds() > renewalFraction*i.c.BanTime.Seconds() {
+			b.prolong(until)
+			i.unsent.met[key] = true
+		}
+	}
+	if remaining = i.BanRemaining(now, parts); remaining == 0 || !isTrial {
+		return remaining, false
+	}
+	for _, b := range i.bans {
+		if b.covers(parts) {
+			b.recordTrial(now)
+		}
+	}
+	return remaining, true
+}
+
 // addBan adds a ban in place of those that it covers, and drops what is held against other parts for the
 // crashes that it explains.
 func (i *Isolator) addBan(parts []string, until, crashedAt time.Time) *ban {
@@ -72,7 +124,7 @@
 			delete(i.bans, key)
 		}
 	}
-	b := &ban{parts: parts, until: until, crashedAt: crashedAt}
+	b := &ban{parts: parts, until: until, crashedAt: crashedAt, trialAt: crashedAt.Add(i.c.BanTime), trialPause: i.c.BanTime}
 	i.bans[b.key()] = b
 	for upstream, c := range i.crashes {
 		if !c.hasAll(parts) {
--- a/internal/request/isolator/evidence.go
+++ b/internal/request/isolator/evidence.go
@@ -35,7 +35,8 @@
 	Crashes   []Crash
 	Proofs    []Proof
 	Bans      []Ban
-	IsLifting bool // a proof changes a ban
+	Met       []Ban // bans that calls have met; the entries that decide tell the others
+	IsLifting bool  // a proof changes a ban
 }
 
 // TakeUnsent returns what this entry has found itself and not returned before. It returns crashes
@@ -54,18 +55,25 @@
 			e.Proofs = append(e.Proofs, Proof{Part: part, Age: now.Sub(at)})
 		}
 	}
-	for _, key := range sortedKeys(i.unsent.bans) {
-		if b := i.bans[key]; b != nil {
-			e.Bans = append(e.Bans, b.report(now))
-		}
-	}
+	e.Bans, e.Met = i.reports(now, i.unsent.bans), i.reports(now, i.unsent.met)
 	e.IsLifting = i.unsent.isLifting
 	clear(i.unsent.proofs)
 	clear(i.unsent.bans)
+	clear(i.unsent.met)
 	i.unsent.isLifting = false
 	return e
 }
 
+// reports returns bans by their keys, as they are sent to other entries.
+func (i *Isolator) reports(now time.Time, keys map[string]bool) (bans []Ban) {
+	for _, key := range sortedKeys(keys) {
+		if b := i.bans[key]; b != nil {
+			bans = append(bans, b.report(now))
+		}
+	}
+	return bans
+}
+
 // sortedKeys returns the keys of a set in order.
 func sortedKeys(set map[string]bool) []string {
 	return slices.Sorted(maps.Keys(set))
@@ -81,8 +89,8 @@
 	return bans
 }
 
-// sameCrash is how much the time of a crash may differ between two entries, because of the time that
-// messages take. Entries that took each other's differences for news would renew their bans for ever.
+// sameCrash is how much the time of a crash or the end of a ban may differ between two entries, because of the
+// time that messages take. Entries that took each other's differences for news would renew their bans for ever.
 const sameCrash = time.Second
 
 // Merge adds the evidence of another entry. It returns the bans that are new here.
@@ -127,12 +135,16 @@
 	if len(parts) == 0 || b.Remaining <= 0 {
 		return false
 	}
+	until := now.Add(min(b.Remaining, i.c.BanTime))
 	if known := i.covering(parts); known != nil {
 		if crashedAt.Sub(known.crashedAt) > sameCrash {
 			known.renew(crashedAt, i.c.BanTime)
 		}
+		if until.Sub(known.until) > sameCrash {
+			known.prolong(until)
+		}
 		return false
 	}
-	i.addBan(parts, now.Add(min(b.Remaining, i.c.BanTime)), crashedAt)
+	i.addBan(parts, until, crashedAt)
 	return true
 }
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -40,7 +40,7 @@
 
 // Config holds the settings of an Isolator. Defaults replaces zero values.
 type Config struct {
-	BanTime  time.Duration // length of a ban
+	BanTime  time.Duration // length of a ban, from the newest crash or call under it
 	Lifetime time.Duration // how long a crash counts
 }
 
@@ -54,9 +54,20 @@
 	}
 }
 
+// Role is what an entry does about the evidence, besides telling the others.
+type Role int
+
+// Roles of entries.
+const (
+	RoleNone    Role = iota
+	RoleDecides      // decides on bans
+	RoleTries        // decides on bans and, alone, lets calls run as trials whether a ban is still needed
+)
+
 // Isolator holds the suspects and bans of one entry. It is not safe for concurrent use.
 type Isolator struct {
 	c        Config
+	role     Role
 	crashes  map[string]*crash          // by incarnation of the engine
 	suspects map[string]map[string]bool // incarnations that crashed under a part, by part
 	begun    recentTimes                // when a call with a part last began to be answered
@@ -78,6 +89,7 @@
 	crashes map[string]int  // how often each is still to be sent, by incarnation
 	proofs  map[string]bool // by part
 	bans    map[string]bool // by key
+	met     map[string]bool // bans that calls have met, by key
 	// isLifting is set if a proof changes a ban, which all entries have to hear.
 	isLifting bool
 }
@@ -90,10 +102,15 @@
 		crashes:  make(map[string]*crash),
 		suspects: make(map[string]map[string]bool),
 		bans:     make(map[string]*ban),
-		unsent:   unsent{crashes: make(map[string]int), proofs: make(map[string]bool), bans: make(map[string]bool)},
+		unsent:   unsent{crashes: make(map[string]int), proofs: make(map[string]bool), bans: make(map[string]bool), met: make(map[string]bool)},
 	}
 }
 
+// SetRole sets what this entry does about the evidence.
+func (i *Isolator) SetRole(role Role) {
+	i.role = role
+}
+
 // RecordCrash records that an engine crashed while a call with these parts had not begun to be answered.
 // Without parts it records the crash alone. The parameter upstream must be different for each
 // incarnation.
--- /dev/null
+++ b/standin/simulator/banlength_test.go
@@ -0,0 +1,41 @@
+package simulator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/standin/simulator"
+)
+
+// TestBanLastsWhileItIsMet guards against a ban of a part that ends while calls with the part still come, so
+// that engines crash anew.
+func TestBanLastsWhileItIsMet(t *testing.T) {
+	t.Parallel()
+	const (
+		length    = 25 * time.Minute
+		settled   = time.Minute // the part is banned
+		maxTrials = 2           // of a ban, after ten and after twenty minutes more
+	)
+	c := simulator.Config{Entries: 4, Engines: 6, Slots: 8, Events: 3, CrashingParts: []string{"bad"}}
+	l := &crashLoad{isBad: make(map[string]bool), arrived: make(map[string][]time.Time)}
+	c.OnArrive = l.arrive
+	run(t, c, 0, func(h *harness) {
+		l.h = h
+		begun := time.Now()
+		end := begun.Add(length)
+		l.run(1, 1, end, "")
+		l.run(2, 0.5, end, "bad")
+		h.listRestarted(begun.Add(settled))
+		before := l.crashes()
+		h.listRestarted(end)
+		h.callers.Wait()
+		after := l.crashes() - before
+		t.Logf("engines crashed: %d before the ban, %d after it", before, after)
+		if after > maxTrials {
+			t.Errorf("%d engines crashed under a part that was banned, want at most %d", after, maxTrials)
+		}
+		if fraction := served(l.far, begun.Add(settled)); fraction < 0.95 {
+			t.Errorf("fraction served of the sound calls: %.2f, want 0.95", fraction)
+		}
+	})
+}
