A ban of a whole request lasts while the request comes

What callers saw: a request that crashes upstreams and is repeated for longer was let through each ten minutes and crashed two or three upstreams anew.

Cause: as with bans of prompt parts, the ban had a fixed length, and nothing under it could renew it.

Evidence: TestRepeatedRequestStaysBanned before: "in 50 minutes the request crashed 15 upstreams, want 3". TestRequestBanIsKeptByAll with the message to the deciding entries taken out: "the request crashed 3 engines before its ban and 3 after it, want 3 and 0".

The change: a request that comes renews its ban, in steps of a quarter of its length, up to an hour after its newest crash. Nothing proves to other entries that such a request has become sound, hence the bound and no trials. Entries tell those that decide, with the bans of parts that were met; these send all bans to all as before. On the product's own interface bans travel with exchanges as before.

Measured: both tests pass; TestCrashingRequest (fleet, forwarder, quarantiner), TestDomainFailure pass unchanged.

--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -113,13 +113,15 @@
 func (s *banSender) shareEvidence(ctx context.Context) {
 	evidence := s.d.forwarder.Isolate(s.role)
 	warning := isolator.ToWire(evidence)
+	met := quarantiner.ToWire(s.d.forwarder.TakeUnsentMet())
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
-	if len(warning.Proofs)+len(evidence.Met) > 0 {
+	if len(warning.Proofs)+len(evidence.Met)+len(met) > 0 {
 		receivers := s.deciding
 		if evidence.IsLifting {
 			receivers = s.d.otherEntries()
 		}
 		withMet := warning
+		withMet.Bans = met
 		withMet.PartBans = append(withMet.PartBans, isolator.BansToWire(evidence.Met)...)
 		for _, to := range receivers {
 			warnings[to] = withMet
--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -55,6 +55,13 @@
 	return bans[:min(limit, len(bans))]
 }
 
+// TakeUnsentMet returns the bans that requests have renewed at this entry, for the entries that decide.
+func (f *Forwarder) TakeUnsentMet() []quarantiner.Ban {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quarantine.TakeUnsentMet(time.Now())
+}
+
 // MergeBan merges a ban received from another entry.
 func (f *Forwarder) MergeBan(ban quarantiner.Ban) {
 	f.mu.Lock()
@@ -97,7 +104,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if remaining := f.quarantine.BanRemaining(now, x.digest); remaining > 0 {
+	if remaining := f.quarantine.Meet(now, x.digest); remaining > 0 {
 		return remaining
 	}
 	remaining, isTrial := f.isolator.Meet(now, x.call.PromptParts)
--- a/internal/request/forwarder/partban_test.go
+++ b/internal/request/forwarder/partban_test.go
@@ -87,3 +87,21 @@
 		}
 	})
 }
+
+// TestRepeatedRequestStaysBanned repeats a request that crashes upstreams for longer than its ban lasts without
+// being met.
+func TestRepeatedRequestStaysBanned(t *testing.T) {
+	run(t, func(b *bench) {
+		for n := 2; n < 10; n++ {
+			b.upstream(n, breakOff)
+		}
+		total := 0
+		for range 50 {
+			total += b.ran(b.call("/look/crash", nil))
+			time.Sleep(time.Minute)
+		}
+		if total != 3 {
+			t.Errorf("in 50 minutes the request crashed %d upstreams, want 3", total)
+		}
+	})
+}
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -13,7 +13,8 @@
 
 // Config holds the settings of a Quarantiner. Defaults replaces zero values.
 type Config struct {
-	Time               time.Duration // length of a ban
+	Time               time.Duration // length of a ban, from its beginning or from when the request came last
+	MaxTime            time.Duration // length of a ban from the newest crash, at the most
 	SuspectLifetime    time.Duration // how long a crash counts against a request
 	MassFailureWindow  time.Duration // crashes within it count as simultaneous
 	MassFailureCrashes int           // simultaneous crashes at which none counts as evidence
@@ -26,6 +27,9 @@
 	if c.Time == 0 {
 		c.Time = 10 * time.Minute
 	}
+	if c.MaxTime == 0 {
+		c.MaxTime = time.Hour
+	}
 	if c.SuspectLifetime == 0 {
 		c.SuspectLifetime = 10 * time.Minute
 	}
@@ -48,11 +52,18 @@
 
 // Quarantiner holds the suspects and bans of one entry. It is not safe for concurrent use.
 type Quarantiner struct {
-	c           Config
-	suspects    map[string]*suspect
-	bannedUntil map[string]time.Time // end of the ban, by request digest
-	crashes     []crash
-	unsent      map[string]bool // digests with crashes seen here that TakeUnsentBans has not returned
+	c         Config
+	suspects  map[string]*suspect
+	bans      map[string]*ban // by request digest
+	crashes   []crash
+	unsent    map[string]bool // digests with crashes seen here that TakeUnsentBans has not returned
+	unsentMet map[string]bool // digests of renewed bans that TakeUnsentMet has not returned
+}
+
+// ban is a ban of a request.
+type ban struct {
+	until     time.Time
+	crashedAt time.Time // newest crash
 }
 
 type suspect struct {
@@ -69,7 +80,7 @@
 // defaults.
 func New(c Config) *Quarantiner {
 	c.Defaults()
-	return &Quarantiner{c: c, suspects: make(map[string]*suspect), bannedUntil: make(map[string]time.Time), unsent: make(map[string]bool)}
+	return &Quarantiner{c: c, suspects: make(map[string]*suspect), bans: make(map[string]*ban), unsent: make(map[string]bool), unsentMet: make(map[string]bool)}
 }
 
 // RecordCrash records that an upstream died with a request in flight. The parameter upstream
@@ -84,7 +95,7 @@
 	q.addEvidence(now, upstream, digest)
 	q.unsent[digest] = true
 	if len(q.CrashedUpstreams(digest)) >= q.c.CrashesToBan {
-		q.bannedUntil[digest] = now.Add(q.c.Time)
+		q.bans[digest] = &ban{until: now.Add(q.c.Time), crashedAt: now}
 	}
 }
 
@@ -143,7 +154,7 @@
 	}
 	delete(s.upstreams, upstream)
 	if len(s.upstreams) < q.c.CrashesToBan {
-		delete(q.bannedUntil, digest)
+		delete(q.bans, digest)
 	}
 	if len(s.upstreams) == 0 {
 		delete(q.suspects, digest)
@@ -153,7 +164,7 @@
 // Clear removes the evidence against a request that got a complete answer.
 func (q *Quarantiner) Clear(digest string) {
 	delete(q.suspects, digest)
-	delete(q.bannedUntil, digest)
+	delete(q.bans, digest)
 }
 
 // IsSuspect reports whether a request was in flight on an upstream that died.
@@ -174,7 +185,47 @@
 
 // BanRemaining returns how much longer a request is banned; 0 if it is not.
 func (q *Quarantiner) BanRemaining(now time.Time, digest string) time.Duration {
-	return max(q.bannedUntil[digest].Sub(now), 0)
+	if b := q.bans[digest]; b != nil {
+		return max(b.until.Sub(now), 0)
+	}
+	return 0
+}
+
+// renewalFraction is the fraction of a ban's length that must be over before the request renews it. The other
+// entries are told of each renewal.
+const renewalFraction = 0.25
+
+// Meet records that a request has come and returns how much longer it is banned; 0 if it is not. A ban lasts
+// as long as the request comes, but MaxTime at the most.
+func (q *Quarantiner) Meet(now time.Time, digest string) time.Duration {
+	if q.BanRemaining(now, digest) == 0 {
+		return 0
+	}
+	b := q.bans[digest]
+	if until := q.bounded(now.Add(q.c.Time), b.crashedAt); until.Sub(b.until).Seconds() > renewalFraction*q.c.Time.Seconds() {
+		b.until = until
+		q.unsentMet[digest] = true
+	}
+	return b.until.Sub(now)
+}
+
+// bounded returns the end of a ban, or the latest end that is allowed after a crash if that is earlier.
+func (q *Quarantiner) bounded(until, crashedAt time.Time) time.Time {
+	if latest := crashedAt.Add(q.c.MaxTime); latest.Before(until) {
+		return latest
+	}
+	return until
+}
+
+// TakeUnsentMet returns the bans that requests have renewed at this entry and that were not returned before.
+func (q *Quarantiner) TakeUnsentMet(now time.Time) (bans []Ban) {
+	for _, digest := range slices.Sorted(maps.Keys(q.unsentMet)) {
+		if q.bans[digest] != nil {
+			bans = append(bans, q.ban(now, digest))
+		}
+	}
+	clear(q.unsentMet)
+	return bans
 }
 
 // Ban is the evidence against a request and the ban that follows from it, if any.
@@ -189,7 +240,7 @@
 func (q *Quarantiner) Bans(now time.Time) (bans []Ban) {
 	q.expire(now)
 	digests := slices.Collect(maps.Keys(q.suspects))
-	for digest := range q.bannedUntil {
+	for digest := range q.bans {
 		if !q.IsSuspect(digest) {
 			digests = append(digests, digest)
 		}
@@ -201,9 +252,13 @@
 	return bans
 }
 
-// age returns the time since the newest crash of a request, at most SuspectLifetime.
+// age returns the time since the newest crash of a request. If there is no evidence left, it is at least
+// SuspectLifetime.
 func (q *Quarantiner) age(now time.Time, digest string) time.Duration {
 	age := q.c.SuspectLifetime
+	if b := q.bans[digest]; b != nil {
+		age = max(age, now.Sub(b.crashedAt))
+	}
 	if s, isKnown := q.suspects[digest]; isKnown {
 		for _, at := range s.upstreams {
 			age = min(age, now.Sub(at))
@@ -235,7 +290,7 @@
 	return Ban{Digest: digest, Upstreams: q.CrashedUpstreams(digest), Age: q.age(now, digest), Remaining: q.BanRemaining(now, digest)}
 }
 
-// sameBan is how much the end of a ban may differ between two entries, because of the time that messages
+// sameBan is how much the end of a ban or the time of a crash may differ between two entries, because of the time that messages
 // take. Entries that took each other's differences for news would renew their bans for ever.
 const sameBan = time.Second
 
@@ -247,20 +302,34 @@
 			q.addEvidence(now.Add(-ban.Age), upstream, ban.Digest)
 		}
 	}
-	if len(ban.Upstreams) < q.c.CrashesToBan && len(q.CrashedUpstreams(ban.Digest)) >= q.c.CrashesToBan && q.bannedUntil[ban.Digest].IsZero() {
+	crashedAt := now.Add(-ban.Age)
+	if len(ban.Upstreams) < q.c.CrashesToBan && len(q.CrashedUpstreams(ban.Digest)) >= q.c.CrashesToBan && q.bans[ban.Digest] == nil {
 		// The entries saw different crashes, each too few for a ban.
-		q.bannedUntil[ban.Digest] = now.Add(q.c.Time)
+		q.mergeBan(ban.Digest, now.Add(q.c.Time), crashedAt)
+	}
+	if ban.Remaining > 0 && len(q.bans) < q.c.MaxSuspects {
+		q.mergeBan(ban.Digest, now.Add(min(ban.Remaining, q.c.Time)), crashedAt)
+	}
+}
+
+// mergeBan adds a ban or lets one end later.
+func (q *Quarantiner) mergeBan(digest string, until, crashedAt time.Time) {
+	b, isKnown := q.bans[digest]
+	if !isKnown {
+		b = &ban{crashedAt: crashedAt}
+		q.bans[digest] = b
+	}
+	if crashedAt.Sub(b.crashedAt) > sameBan {
+		b.crashedAt = crashedAt
 	}
-	remaining := min(ban.Remaining, q.c.Time)
-	until := now.Add(remaining)
-	if remaining > 0 && len(q.bannedUntil) < q.c.MaxSuspects && until.Sub(q.bannedUntil[ban.Digest]) > sameBan {
-		q.bannedUntil[ban.Digest] = until
+	if until = q.bounded(until, b.crashedAt); until.Sub(b.until) > sameBan {
+		b.until = until
 	}
 }
 
 // expire removes bans, suspects and crashes that are too old.
 func (q *Quarantiner) expire(now time.Time) {
-	maps.DeleteFunc(q.bannedUntil, func(_ string, until time.Time) bool { return !until.After(now) })
+	maps.DeleteFunc(q.bans, func(_ string, b *ban) bool { return !b.until.After(now) })
 	for digest, s := range q.suspects {
 		maps.DeleteFunc(s.upstreams, func(_ string, at time.Time) bool { return now.Sub(at) > q.c.SuspectLifetime })
 		if len(s.upstreams) == 0 {
--- a/internal/request/quarantiner/quarantiner_test.go
+++ b/internal/request/quarantiner/quarantiner_test.go
@@ -191,3 +191,43 @@
 		t.Errorf("2 s after its end the ban remains for %s", have)
 	}
 }
+
+// TestMetBanLasts guards against a ban that ends while the request still comes. It is bounded, since nothing
+// proves that the request has become sound.
+func TestMetBanLasts(t *testing.T) {
+	tests := []struct {
+		name         string
+		every, until time.Duration // between two times that the request comes, and the last one
+		at           time.Duration
+		want         bool // the ban is in force
+	}{
+		{"met all the time", time.Second, 50 * time.Minute, 50 * time.Minute, true},
+		{"met all the time, then no more", time.Second, 50 * time.Minute, 61 * time.Minute, false},
+		{"met each seven minutes", 7 * time.Minute, 50 * time.Minute, 50 * time.Minute, true},
+		{"met for too long", time.Second, 2 * time.Hour, 61 * time.Minute, false},
+		{"never met", time.Hour, 0, 11 * time.Minute, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			start := time.Unix(0, 0)
+			a, b := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
+			a.RecordCrash(start, "1", "crasher")
+			a.RecordCrash(start, "2", "crasher")
+			for _, ban := range a.Bans(start) {
+				b.Merge(start, ban)
+			}
+			for s := tt.every; s <= tt.until; s += tt.every {
+				now := start.Add(s)
+				a.Meet(now, "crasher")
+				for _, ban := range a.TakeUnsentMet(now) {
+					b.Merge(now, ban)
+				}
+			}
+			for name, q := range map[string]*quarantiner.Quarantiner{"that is met": a, "that is told": b} {
+				if have := q.BanRemaining(start.Add(tt.at), "crasher"); (have > 0) != tt.want {
+					t.Errorf("the ban remains for %s at the entry %s, want in force %t", have, name, tt.want)
+				}
+			}
+		})
+	}
+}
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -187,7 +187,7 @@
 func (r *Relayer) checkBan(digest string) *foxtailwharf.Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	remaining := r.quarantine.BanRemaining(time.Now(), digest)
+	remaining := r.quarantine.Meet(time.Now(), digest)
 	if remaining == 0 {
 		return nil
 	}
--- a/standin/simulator/banlength_test.go
+++ b/standin/simulator/banlength_test.go
@@ -1,9 +1,14 @@
 package simulator_test
 
 import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/foxtailwharf/foxtailwharf/standin"
 	"github.com/foxtailwharf/foxtailwharf/standin/simulator"
 )
 
@@ -39,3 +44,36 @@
 		}
 	})
 }
+
+// TestRequestBanIsKeptByAll guards against a ban of a whole request that lasts at the entry that meets it and
+// ends at the others.
+func TestRequestBanIsKeptByAll(t *testing.T) {
+	t.Parallel()
+	const crasher = "crasher"
+	run(t, simulator.Config{Entries: 4, Engines: 8, Slots: 8, Events: 3, Domains: 1, CrashingCalls: []string{crasher}}, 0, func(h *harness) {
+		met := slices.MinFunc(h.Entries, compareRanks) // does not decide
+		send := func(entry *simulator.Entry) {
+			h.callWith(entry, "summary", simulator.Key, 800, func(r *http.Request) {
+				r.Body = io.NopCloser(strings.NewReader(crasher))
+				r.ContentLength = int64(len(crasher))
+				r.Header.Set(standin.HeaderCall, crasher)
+			})
+		}
+		begun := time.Now()
+		for range 4 {
+			send(met)
+			h.listRestarted(time.Now().Add(10 * time.Second))
+		}
+		before := h.countRuns()
+		for time.Since(begun) < 25*time.Minute {
+			send(met)
+			time.Sleep(30 * time.Second)
+		}
+		for _, entry := range h.Entries {
+			send(entry)
+		}
+		if after := h.countRuns() - before; before != 3 || after != 0 {
+			t.Errorf("the request crashed %d engines before its ban and %d after it, want 3 and 0", before, after)
+		}
+	})
+}
--- a/standin/simulator/crash_test.go
+++ b/standin/simulator/crash_test.go
@@ -193,14 +193,19 @@
 
 // killDecider ends the first entry of those that decide on bans, one second before the calls begin.
 func (h *harness) killDecider() {
+	first := slices.MaxFunc(h.Entries, compareRanks)
+	first.Kill()
+	h.Entries = slices.DeleteFunc(slices.Clone(h.Entries), func(e *simulator.Entry) bool { return e == first })
+	time.Sleep(time.Second)
+}
+
+// compareRanks orders entries by the order in which they decide on bans, those that do last.
+func compareRanks(a, b *simulator.Entry) int {
 	const peersPort = 7700
 	rank := func(e *simulator.Entry) uint64 {
 		return foxtailwharf.RendezvousScore("decides on bans", netip.AddrPortFrom(e.Callers().Addr(), peersPort).String())
 	}
-	first := slices.MaxFunc(h.Entries, func(a, b *simulator.Entry) int { return cmp.Compare(rank(a), rank(b)) })
-	first.Kill()
-	h.Entries = slices.DeleteFunc(slices.Clone(h.Entries), func(e *simulator.Entry) bool { return e == first })
-	time.Sleep(time.Second)
+	return cmp.Compare(rank(a), rank(b))
 }
 
 // check fails the test if calls with the bad part go on to reach engines, or sound calls are not served.
