Evidence on crashes grows older while a machine is suspended

What callers would see: an entry that wakes from a suspension tells the others crashes, begun answers and bans as if they were new; a ban of ten minutes that had ended refuses calls again, at all entries.

Cause: the forwarder gave the isolator and the quarantiner the time of the process's monotonic clock, which stands still in a suspension. Other parts (proofs of the configuration, times of releases) go by the boot clock.

Evidence, TestSuspensionEndsBans before: "after two minutes of suspension the part's ban remains for 4m59s, its newest crash was 1s ago", the same for a request's ban, "status 503 after the end of the ban, want 200".

The change: one method gives both the time by the boot clock.

Measured: the test passes, and the package's others. Not changed: the product's own interface, whose quarantine goes by the monotonic clock.

--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -38,19 +38,25 @@
 	return u.ID + "@" + strconv.FormatInt(u.Born.UnixMilli(), 10)
 }
 
+// evidenceTime returns the present time for evidence on crashes, which grows older also while the machine is
+// suspended. Its zero is arbitrary.
+func (f *Forwarder) evidenceTime() time.Time {
+	return time.Unix(0, 0).Add(f.c.Clock())
+}
+
 // TakeUnsentBans returns up to limit bans and suspicions found by this entry that the others
 // have not been sent.
 func (f *Forwarder) TakeUnsentBans(limit int) []quarantiner.Ban {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.quarantine.TakeUnsentBans(time.Now(), limit)
+	return f.quarantine.TakeUnsentBans(f.evidenceTime(), limit)
 }
 
 // Bans returns up to limit bans of requests that are in force, those that last longest first.
 func (f *Forwarder) Bans(limit int) []quarantiner.Ban {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	bans := slices.DeleteFunc(f.quarantine.Bans(time.Now()), func(b quarantiner.Ban) bool { return b.Remaining == 0 })
+	bans := slices.DeleteFunc(f.quarantine.Bans(f.evidenceTime()), func(b quarantiner.Ban) bool { return b.Remaining == 0 })
 	slices.SortStableFunc(bans, func(a, b quarantiner.Ban) int { return cmp.Compare(b.Remaining, a.Remaining) })
 	return bans[:min(limit, len(bans))]
 }
@@ -59,14 +65,14 @@
 func (f *Forwarder) TakeUnsentMet() []quarantiner.Ban {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.quarantine.TakeUnsentMet(time.Now())
+	return f.quarantine.TakeUnsentMet(f.evidenceTime())
 }
 
 // MergeBan merges a ban received from another entry.
 func (f *Forwarder) MergeBan(ban quarantiner.Ban) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.quarantine.Merge(time.Now(), ban)
+	f.quarantine.Merge(f.evidenceTime(), ban)
 }
 
 // recordCrash records that an upstream ended with a call in flight. Other entries are told at the
@@ -74,7 +80,7 @@
 // call is retried.
 func (f *Forwarder) recordCrash(ctx context.Context, upstream foxtailwharf.Upstream, digest string) {
 	f.mu.Lock()
-	f.quarantine.RecordCrash(time.Now(), incarnation(upstream), digest)
+	f.quarantine.RecordCrash(f.evidenceTime(), incarnation(upstream), digest)
 	isRepeated := len(f.quarantine.CrashedUpstreams(digest)) > 1
 	f.mu.Unlock()
 	if isRepeated {
@@ -94,7 +100,7 @@
 func (f *Forwarder) quarantinedFor(digest string, parts []string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := f.evidenceTime()
 	return max(f.quarantine.BanRemaining(now, digest), f.isolator.BanRemaining(now, parts))
 }
 
@@ -103,7 +109,7 @@
 func (f *Forwarder) meetBan(x *exchange) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
+	now := f.evidenceTime()
 	if remaining := f.quarantine.Meet(now, x.digest); remaining > 0 {
 		return remaining
 	}
@@ -130,20 +136,20 @@
 func (f *Forwarder) suspectCrash(upstream foxtailwharf.Upstream, parts []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.suspected = append(f.suspected, suspectedCrash{upstream: upstream, at: time.Now(), parts: parts})
+	f.suspected = append(f.suspected, suspectedCrash{upstream: upstream, at: f.evidenceTime(), parts: parts})
 }
 
 // recordBegin records that a call began to be answered, so that the parts of its prompt crash no engine.
 func (f *Forwarder) recordBegin(parts []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.isolator.RecordBegin(time.Now(), parts)
+	f.isolator.RecordBegin(f.evidenceTime(), parts)
 }
 
 // Isolate weighs the evidence on parts of prompts that crash engines: it confirms crashes and, if this
 // entry decides, bans parts. It returns what other entries have to know.
 func (f *Forwarder) Isolate(role isolator.Role) isolator.Evidence {
-	now := time.Now()
+	now := f.evidenceTime()
 	f.mu.Lock()
 	suspected := f.suspected
 	f.suspected = nil
@@ -175,14 +181,14 @@
 func (f *Forwarder) MergeEvidence(e isolator.Evidence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.enforce(f.isolator.Merge(time.Now(), e))
+	f.enforce(f.isolator.Merge(f.evidenceTime(), e))
 }
 
 // PartBans returns the bans of parts of prompts.
 func (f *Forwarder) PartBans() []isolator.Ban {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.isolator.Bans(time.Now())
+	return f.isolator.Bans(f.evidenceTime())
 }
 
 // enforce ends the calls under a new ban that have not begun to be answered. The lock must be held.
@@ -205,7 +211,7 @@
 func (f *Forwarder) addPending(x *exchange) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if remaining := f.isolator.BanRemaining(time.Now(), x.call.PromptParts); remaining > 0 && !x.isTrial {
+	if remaining := f.isolator.BanRemaining(f.evidenceTime(), x.call.PromptParts); remaining > 0 && !x.isTrial {
 		return remaining
 	}
 	f.pending[x] = true
