Metrics: bytes of datagrams by kind, and by own or other regions

Entries and agents now count the bytes of what they send as SentBytes.KIND.OwnRegion and SentBytes.KIND.OtherRegions. Messages to and from an agent whose failure domain is not known yet count as of other regions.

--- a/fleetsettings.go
+++ b/fleetsettings.go
@@ -109,6 +109,11 @@
 	return f.ErrorOrNil()
 }
 
+// IsFar reports whether a failure domain is in another region.
+func (s *FleetSettings) IsFar(domain string) bool {
+	return s.Regions[domain] != s.Region
+}
+
 // PeerAddress returns the address at which the other processes reach the process on a machine.
 func (s *FleetSettings) PeerAddress(machine netip.Addr) netip.AddrPort {
 	return netip.AddrPortFrom(machine, s.Ports[0])
--- a/internal/connection/notifier/notifier.go
+++ b/internal/connection/notifier/notifier.go
@@ -38,7 +38,24 @@
 	Clock func() time.Duration
 	// OnMessage is called for each received datagram. It must not keep data after it returns.
 	OnMessage func(from netip.AddrPort, stamp delayestimator.Stamp, data []byte)
-	Log       *zap.Logger
+	// OnSent is called for each message that is sent, with the bytes of its datagrams; nil for nothing.
+	OnSent func(kind Kind, bytes int)
+	Log    *zap.Logger
+}
+
+// Kind is a kind of message in the metrics.
+type Kind struct {
+	Name string
+	// IsFar is set if the receivers are in other regions.
+	IsFar bool
+}
+
+// Counter returns the name of the counter of the bytes that are sent in messages of this kind.
+func (k Kind) Counter() string {
+	if k.IsFar {
+		return "SentBytes." + k.Name + ".OtherRegions"
+	}
+	return "SentBytes." + k.Name + ".OwnRegion"
 }
 
 // Notifier sends and receives datagrams on one socket. Send is safe for concurrent use.
@@ -117,12 +134,15 @@
 
 // Send sends a message as JSON to each receiver. It is encoded once. A failure to send is only
 // logged, as the datagram could be lost in the network as well.
-func (n *Notifier) Send(message any, receivers ...netip.AddrPort) {
+func (n *Notifier) Send(kind Kind, message any, receivers ...netip.AddrPort) {
 	data, err := json.Marshal(message)
 	if err != nil {
 		n.c.Log.Error("notices: cannot encode a message", zap.Error(err))
 		return
 	}
+	if n.c.OnSent != nil {
+		n.c.OnSent(kind, len(receivers)*(headerBytes+len(data)))
+	}
 	for _, to := range receivers {
 		if _, err := n.c.Socket.WriteTo(append(n.header(to), data...), net.UDPAddrFromAddrPort(to)); err != nil {
 			n.c.Log.Debug("notices: cannot send a message", zap.Stringer("To", to), zap.Error(err))
--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -12,6 +12,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/delayestimator"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
@@ -82,6 +83,19 @@
 	return interval
 }
 
+// Kinds of datagrams to agents in the metrics.
+const (
+	kindNotice = "Notice"
+	kindAgents = "Agents" // a notice with the list of agents
+	kindCall   = "Call"
+	kindFirst  = "FirstNotice" // to an agent whose failure domain is unknown
+)
+
+// kind returns the kind of a message to a failure domain.
+func (d *Distributor) kind(name, domain string) notifier.Kind {
+	return notifier.Kind{Name: name, IsFar: d.c.Settings.IsFar(domain)}
+}
+
 func byService(agents []foxtailwharf.Upstream) map[string][]foxtailwharf.Upstream {
 	lists := make(map[string][]foxtailwharf.Upstream)
 	for _, u := range agents {
@@ -116,7 +130,7 @@
 // notifyCall tells an agent about a call that is being sent to its engine. It is sent at once,
 // apart from the regular notices.
 func (d *Distributor) notifyCall(u foxtailwharf.Upstream, tokens int) {
-	d.notifier.Send(wire.FleetNotice{PlacedTokens: max(tokens, 1)}, d.c.Settings.PeerAddress(u.Address.Addr()))
+	d.notifier.Send(d.kind(kindCall, u.FailureDomain), wire.FleetNotice{PlacedTokens: max(tokens, 1)}, d.c.Settings.PeerAddress(u.Address.Addr()))
 }
 
 // domainsOf lists the agents that are not draining, by failure domain.
@@ -161,12 +175,14 @@
 // that every entry does while the agent has none.
 func (d *Distributor) sendNotice(u foxtailwharf.Upstream, notice wire.FleetNotice, domains []wire.FleetDomain) {
 	held, delay := d.listAndDelay(u.Address.Addr())
+	kind := kindNotice
 	notice.ReportDelayMillis = delay.Milliseconds()
 	isNear := u.FailureDomain == d.c.Settings.FailureDomain
 	if held.digest != notice.Digest && held.revision <= notice.ListRevision && (isNear || held.digest == "") {
 		notice.Domains = domains
+		kind = kindAgents
 	}
-	d.notifier.Send(notice, d.c.Settings.PeerAddress(u.Address.Addr()))
+	d.notifier.Send(d.kind(kind, u.FailureDomain), notice, d.c.Settings.PeerAddress(u.Address.Addr()))
 }
 
 // listAndDelay returns the list that an agent has and the delay of its reports.
@@ -255,7 +271,7 @@
 	notice := d.notice(v, report.Service)
 	notice.Domains = domainsOf(byService(agents)[report.Service])
 	notice.Digest = digestOf(notice.Domains)
-	d.notifier.Send(notice, to)
+	d.notifier.Send(notifier.Kind{Name: kindFirst, IsFar: true}, notice, to)
 }
 
 // otherEntry is another entry, as an agent or an entry last listed it.
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -193,7 +193,10 @@
 	if err != nil {
 		return errors.Wrap(err, "Distributor.Start")
 	}
-	d.notifier = notifier.New(notifier.Config{Socket: socket, Clock: d.c.Clock, OnMessage: d.handleReport, Log: d.c.Log})
+	d.notifier = notifier.New(notifier.Config{
+		Socket: socket, Clock: d.c.Clock, OnMessage: d.handleReport, Log: d.c.Log,
+		OnSent: func(kind notifier.Kind, bytes int) { d.meter.Add(kind.Counter(), int64(bytes)) },
+	})
 	messenger.Register(d.messages, methodVouch, d.handleVouch)
 	messenger.Register(d.messages, methodWarn, d.handleWarn)
 	messenger.Register(d.messages, methodMeet, d.handleMeet)
@@ -318,6 +321,11 @@
 	})
 }
 
+// Counter returns the value of a counter of the metrics.
+func (d *Distributor) Counter(name string) int64 {
+	return d.meter.Counter(name)
+}
+
 // View returns the entry's current view of the store. It must not be changed.
 func (d *Distributor) View() follower.View {
 	return d.follower.View()
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -261,7 +261,10 @@
 	if err != nil {
 		return errors.Wrap(err, "Provisioner.Start")
 	}
-	p.notifier = notifier.New(notifier.Config{Socket: socket, Clock: p.c.Clock, OnMessage: p.handleNotice, Log: p.c.Log})
+	p.notifier = notifier.New(notifier.Config{
+		Socket: socket, Clock: p.c.Clock, OnMessage: p.handleNotice, Log: p.c.Log,
+		OnSent: func(kind notifier.Kind, bytes int) { p.meter.Add(kind.Counter(), int64(bytes)) },
+	})
 	listener, err := p.c.Network.Listen(ctx, s.PeerAddress(s.Address))
 	if err != nil {
 		_ = socket.Close()
@@ -360,6 +363,11 @@
 	return p.holder.Manifest(digest)
 }
 
+// Counter returns the value of a counter of the metrics.
+func (p *Provisioner) Counter(name string) int64 {
+	return p.meter.Counter(name)
+}
+
 // Stop ends all background work and waits for it. The engine keeps running.
 func (p *Provisioner) Stop(ctx context.Context) error {
 	p.c.Log.Info("agent: stopping")
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -10,6 +10,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/delayestimator"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -127,21 +128,49 @@
 	r.sent, r.nearSentAt = report, now
 	short := shortened(report)
 	if !isFar {
-		r.p.notifier.Send(short, near...)
+		r.send(kindReport, short, near)
 		return
 	}
 	r.farSentAt = now
 	if now.Sub(r.nearListedAt) >= entriesInterval {
 		r.nearListedAt = now
-		r.p.notifier.Send(report, near...)
+		r.send(kindEntries, report, near)
 	} else {
-		r.p.notifier.Send(short, near...)
+		r.send(kindReport, short, near)
 	}
 	if now.Sub(r.farListedAt) >= farEntriesInterval {
 		r.farListedAt = now
-		r.p.notifier.Send(report, far...)
+		r.send(kindEntries, report, far)
 	} else {
-		r.p.notifier.Send(short, far...)
+		r.send(kindReport, short, far)
+	}
+}
+
+// Kinds of reports in the metrics.
+const (
+	kindReport  = "Report"
+	kindEntries = "Entries"     // a report with the list of the entries
+	kindSeed    = "FirstReport" // to a seed, whose failure domain is unknown
+)
+
+// listener is an entry that gets reports.
+type listener struct {
+	address netip.AddrPort
+	isFar   bool // it is in another region
+}
+
+// send sends a report to entries.
+func (r *reporter) send(kind string, report wire.FleetReport, to []listener) {
+	for _, isFar := range []bool{false, true} {
+		var receivers []netip.AddrPort
+		for _, l := range to {
+			if l.isFar == isFar {
+				receivers = append(receivers, l.address)
+			}
+		}
+		if len(receivers) > 0 {
+			r.p.notifier.Send(notifier.Kind{Name: kind, IsFar: isFar}, report, receivers...)
+		}
 	}
 }
 
@@ -161,7 +190,7 @@
 	r.nearSentAt = now
 	report.Service = r.p.c.Settings.Service
 	for _, seed := range r.p.c.Settings.Seeds {
-		r.p.notifier.Send(report, r.p.c.Settings.PeerAddress(seed.Addr()))
+		r.p.notifier.Send(notifier.Kind{Name: kindSeed, IsFar: true}, report, r.p.c.Settings.PeerAddress(seed.Addr()))
 	}
 }
 
@@ -178,7 +207,7 @@
 
 // report builds the report and returns the entries to send it to, in the same failure domain and
 // in others. It forgets entries whose notices are older than entryTTL.
-func (r *reporter) report(now time.Time) (report wire.FleetReport, near, far []netip.AddrPort) {
+func (r *reporter) report(now time.Time) (report wire.FleetReport, near, far []listener) {
 	p := r.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -205,9 +234,9 @@
 			continue
 		}
 		if e.domain == p.c.Settings.FailureDomain {
-			near = append(near, address)
+			near = append(near, listener{address: address})
 		} else {
-			far = append(far, address)
+			far = append(far, listener{address: address, isFar: p.c.Settings.IsFar(e.domain)})
 		}
 		byDomain[e.domain] = append(byDomain[e.domain], address.String())
 	}
