The product's own interface: SIGHUP shuts an entry or agent down gracefully

What callers would see: SIGHUP, which operators send after a change of settings files, ends an entry or agent of the own interface at once, with all requests in progress.

Evidence: TestTermTwice/hangup before the change did not end within 25 s (the health check of the entry that had ended was waited for); the test plays both signals with the same checks now.

These processes read their settings once, so that SIGHUP has no other meaning for them; a supervisor starts them again with the new ones. The demo and the load tool end at it as before. Measured: all tests of cmd/foxtailwharf pass, 28 s.

--- a/cmd/foxtailwharf/agent.go
+++ b/cmd/foxtailwharf/agent.go
@@ -56,5 +56,5 @@
 		Log:      log,
 		Seed:     newSeed(),
 	})
-	return runUntilDone(ctx, w, settings.Common.Drain)
+	return runUntilHangup(ctx, w, settings.Common.Drain)
 }
--- a/cmd/foxtailwharf/entry.go
+++ b/cmd/foxtailwharf/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,7 +49,7 @@
 		return err
 	}
 	r := receiver.New(receiver.Config{Settings: settings, Network: peers, Platform: platform, Callers: callers, Log: log, Seed: newSeed()})
-	return runUntilDone(ctx, r, settings.Common.Drain+settings.Notice)
+	return runUntilHangup(ctx, r, settings.Common.Drain+settings.Notice)
 }
 
 // daemon is an entry or agent. Stop shuts it down gracefully until its context is done.
@@ -61,6 +63,14 @@
 	return uint64(time.Now().UnixNano())
 }
 
+// runUntilHangup is runUntilDone for a daemon that reads its settings only once: SIGHUP shuts it down
+// gracefully, too. Without that the signal would end it at once, with all requests in progress.
+func runUntilHangup(ctx context.Context, d daemon, limit time.Duration) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGHUP)
+	defer stop()
+	return runUntilDone(ctx, d, limit)
+}
+
 // runUntilDone runs a daemon until ctx is done, and then shuts it down gracefully within the time
 // limit.
 func runUntilDone(ctx context.Context, d daemon, limit time.Duration) error {
--- a/cmd/foxtailwharf/process_test.go
+++ b/cmd/foxtailwharf/process_test.go
@@ -319,9 +319,15 @@
 	}
 }
 
-// TestTermTwice sends SIGTERM twice to an agent and an entry under load. No request may be cut off,
-// and both must exit with 0.
+// TestTermTwice sends SIGTERM twice to an agent and an entry under load, and the same with SIGHUP. No request
+// may be cut off, and both must exit with 0.
 func TestTermTwice(t *testing.T) {
+	for _, sent := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+		t.Run(sent.String(), func(t *testing.T) { stopUnderLoad(t, sent) })
+	}
+}
+
+func stopUnderLoad(t *testing.T, sent syscall.Signal) {
 	s := newTestFleet(t)
 	var callers sync.WaitGroup
 	quit := make(chan struct{})
@@ -343,9 +349,9 @@
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	s.stop(s.agents[0])
-	s.entries[0].signal(syscall.SIGTERM)
-	s.entries[0].signal(syscall.SIGTERM)
+	s.stop(s.agents[0], sent)
+	s.entries[0].signal(sent)
+	s.entries[0].signal(sent)
 	s.waitUntil("the health check fails", func() bool {
 		response, err := http.Get("http://" + s.entries[0].callers + "/healthz")
 		if err != nil {
@@ -361,11 +367,11 @@
 	}
 }
 
-// stop sends SIGTERM twice and fails the test unless the process exits with 0.
-func (s *testFleet) stop(p *process) {
+// stop sends a signal twice and fails the test unless the process exits with 0.
+func (s *testFleet) stop(p *process, sent syscall.Signal) {
 	s.t.Helper()
-	p.signal(syscall.SIGTERM)
-	p.signal(syscall.SIGTERM)
+	p.signal(sent)
+	p.signal(sent)
 	if err := <-p.exited; err != nil {
 		s.t.Errorf("%s: %v", p.name, err)
 	}
