Upstreams that take no connection for a moment are not given up at once

What callers saw: all upstreams of a service take no connections for a second or so, as on a silent machine, and each call is refused after 0.4 s for each upstream ("not run"), though nothing of it was sent and one of them goes on soon. Each of these attempts also took a retry from the shared budget, which counts what arrives at upstreams.

Cause: an upstream that opens no connection within 0.4 s is excluded for the rest of the call, as one that has refused it.

Evidence: TestUpstreamTakesNoConnections with a silence of 1.2 s, one and two upstreams, before: "have 503 ... after 402ms" and "after 802ms". Refused connections were right.

The requester tells a connection that was not opened in time from a refused one. Such an upstream is tried again if no other one takes the call, for as long as the call may wait and while this has not lasted for over 2 s at the upstream; the next calls are then refused after one attempt each, as before. An attempt that has sent nothing costs no retry.

--- a/internal/connection/requester/requester.go
+++ b/internal/connection/requester/requester.go
@@ -46,7 +46,9 @@
 	// IsBroken is true if no connection could be opened, the connection failed or the response is
 	// malformed. It is false if the request was canceled, or timed out on an open connection.
 	IsBroken bool
-	Err      error
+	// IsUnconnected is true if no connection was opened in time, and none was refused either.
+	IsUnconnected bool
+	Err           error
 }
 
 // Error returns the message of the cause.
@@ -123,7 +125,7 @@
 func (x *Requester) Do(ctx context.Context, r Request) (*Response, error) {
 	conn, err := x.conn(ctx, r)
 	if err != nil {
-		return nil, &Error{IsUnsent: true, IsBroken: !errors.Is(err, context.Canceled), Err: err}
+		return nil, &Error{IsUnsent: true, IsBroken: !errors.Is(err, context.Canceled), IsUnconnected: ctx.Err() == nil && isTimeout(err), Err: err}
 	}
 	a := &Response{x: x, conn: conn, peer: r.Peer}
 	a.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
@@ -171,9 +173,12 @@
 
 // connectionError returns the error for a connection that failed during or after sending.
 func connectionError(err error) *Error {
+	return &Error{IsBroken: !isTimeout(err), Err: err}
+}
+
+func isTimeout(err error) bool {
 	var timeout net.Error
-	isTimeout := errors.As(err, &timeout) && timeout.Timeout()
-	return &Error{IsBroken: !isTimeout, Err: err}
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // send writes the request. A body longer than maxInlineBodyBytes is written while the response is
--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -193,6 +193,13 @@
 	return a.balancer.IsSuspect(time.Now(), u.ID)
 }
 
+// MayBeReached reports whether an upstream that took no connection may be sound, as Balancer.MayBeReached does.
+func (a *Assigner) MayBeReached(u foxtailwharf.Upstream) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.MayBeReached(time.Now(), u.ID)
+}
+
 // IsLost reports whether an upstream has ended or is a suspect, as Balancer.IsLost does.
 func (a *Assigner) IsLost(u foxtailwharf.Upstream) bool {
 	a.mu.Lock()
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -232,6 +232,7 @@
 	Moved                   // another upstream, or one with other weights, is at the address
 	Abandoned               // caller gone, deadline passed, or weights replaced before the answer began
 	Stalled                 // no data arrived in time
+	Unreached               // it took no connection in time
 )
 
 // fullBackoff is how long an upstream that refused a call gets no calls.
@@ -255,8 +256,12 @@
 	switch result {
 	case Answered:
 		u.consecutiveFaults, u.ejections = 0, 0
+		u.unreachedAt = time.Time{}
 	case Failed:
 		u.recordFault(now)
+	case Unreached:
+		u.recordUnreached(now)
+		u.recordFault(now)
 	case NotRun:
 		u.fullUntil = now.Add(fullBackoff)
 	case Stalled:
--- a/internal/request/balancer/suspicion.go
+++ b/internal/request/balancer/suspicion.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// maxSilence is how long a sound upstream may fail to answer its agent, from the first report of it.
+// maxSilence is how long a sound upstream may fail to answer its agent, from the first report of it, or to take
+// connections.
 const maxSilence = 2 * time.Second
 
 // HasEnded reports whether a younger upstream is listed under the upstream's ID or at its address, or a
@@ -41,6 +42,21 @@
 	return b.newPicker(now, &req).silenceEnd
 }
 
+// MayBeReached reports whether an upstream that took no connection may be sound, since that has not lasted for
+// longer than such a one may be silent.
+func (b *Balancer) MayBeReached(now time.Time, id string) bool {
+	u := b.byID[id]
+	return u != nil && now.Sub(u.unreachedSince) < maxSilence
+}
+
+// recordUnreached records that the upstream took no connection in time.
+func (u *upstream) recordUnreached(now time.Time) {
+	if now.Sub(u.unreachedAt) > maxSilence {
+		u.unreachedSince = now
+	}
+	u.unreachedAt = now
+}
+
 // recordDown records since when the reports of a run say that it is down.
 func (u *upstream) recordDown(now time.Time, isOtherRun bool) {
 	switch {
--- a/internal/request/balancer/upstream.go
+++ b/internal/request/balancer/upstream.go
@@ -49,6 +49,8 @@
 	ejections         int
 	ejectedUntil      time.Time
 	fullUntil         time.Time
+	unreachedSince    time.Time // first of the attempts in a row to which it took no connection
+	unreachedAt       time.Time // last one
 }
 
 // current returns the upstream with the start of its present run. The agent may report a restart before
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -178,6 +178,9 @@
 	if errors.As(err, &failure) && failure.IsUnsent {
 		a.x.progress.dropRun()
 		a.log("upstream could not be reached", zap.Error(err))
+		if failure.IsUnconnected {
+			return notReached, balancer.Unreached
+		}
 		return notRun, balancer.Failed
 	}
 	return a.handleBroken(ctx, err)
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -47,6 +47,7 @@
 	progress    progress
 	searches    sync.WaitGroup  // goroutines of backups
 	excluded    map[string]bool // guarded by progress.mu
+	unreached   []string        // those of the excluded that took no connection, and may be only silent
 	hasBegun    bool            // the head of a stream was sent
 	queueTime   time.Duration   // from arrival to the start of the last attempt
 	first       time.Duration   // from arrival to the first event of a stream
@@ -83,6 +84,7 @@
 const (
 	delivered  outcome = iota // the caller has the complete answer
 	notRun                    // the upstream did not run the call
+	notReached                // the upstream took no connection in time
 	unknown                   // the call may have run
 	callerGone                // the caller disconnected
 )
@@ -108,7 +110,8 @@
 				return
 			}
 		}
-		switch x.perform(ctx, a) {
+		o := x.perform(ctx, a)
+		switch o {
 		case delivered:
 			x.log("answered", zap.String("Upstream", a.upstream.ID), zap.Int("Rank", x.rank.Urgency()),
 				zap.Duration("Waited", x.queueTime), zap.Duration("First", x.first), zap.Int64("Weights", x.progress.position().weights))
@@ -118,6 +121,8 @@
 			return
 		case notRun:
 			x.excludeRefused(a.upstream)
+		case notReached:
+			x.excludeUnreached(a.upstream)
 		case unknown:
 			x.progress.setUnknown()
 			x.exclude(a.upstream.ID)
@@ -125,7 +130,8 @@
 		if taken = x.takeBackup(); taken != nil {
 			continue
 		}
-		if !x.mayTryAgain(ctx) {
+		// A call that has not been sent costs no retry.
+		if (o != notReached || ctx.Err() != nil) && !x.mayTryAgain(ctx) {
 			x.finish(ctx, nil)
 			return
 		}
@@ -137,6 +143,9 @@
 func (x *exchange) acquire(ctx context.Context) *attempt {
 	from := x.progress.position()
 	u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(from, x.excluded, x.waitUntil()))
+	if refusal != nil && x.readmitUnreached(ctx) {
+		u, refusal = x.f.c.Assigner.Acquire(ctx, x.assignerRequest(from, x.excluded, x.waitUntil()))
+	}
 	x.f.recordAssignment(x.service.Name, refusal)
 	if refusal != nil {
 		if len(x.excluded) > 0 {
@@ -189,6 +198,30 @@
 	x.excluded[u.ID] = isSecond || !isPaused
 }
 
+// excludeUnreached excludes an upstream that took no connection in time. It may be silent for a moment and gets
+// the call after all if no other one takes it.
+func (x *exchange) excludeUnreached(u foxtailwharf.Upstream) {
+	x.exclude(u.ID)
+	if x.f.c.Assigner.MayBeReached(u) {
+		x.unreached = append(x.unreached, u.ID)
+	}
+}
+
+// readmitUnreached readmits the upstreams that took no connection and may be only silent. It reports whether there
+// are any and the call may still wait.
+func (x *exchange) readmitUnreached(ctx context.Context) bool {
+	if len(x.unreached) == 0 || ctx.Err() != nil || !time.Now().Before(x.waitUntil()) {
+		return false
+	}
+	x.progress.mu.Lock()
+	defer x.progress.mu.Unlock()
+	for _, id := range x.unreached {
+		delete(x.excluded, id)
+	}
+	x.unreached = nil
+	return true
+}
+
 // recordAnswered records the metrics of an answered call.
 func (x *exchange) recordAnswered() {
 	x.f.c.Meter.Increment(meter.CounterAnswered)
