Relayer: a caller that reads slowly stalls no agent

What callers of the product's own interface saw: a stream whose caller does not read for over 10 s is cut off at its agent, and resumed elsewhere or aborted, though the agent is sound.

Cause: the time without data from the agent went on while the event before was being written to the caller.

--- a/internal/request/relayer/keyed_test.go
+++ b/internal/request/relayer/keyed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -30,9 +31,10 @@
 					}
 					b := newBench(t, a)
 					defer b.close()
-					i := b.members[0]
+					i := b.members.list[0]
 					ticket := &wire.Ticket{ID: "t", Instance: i.Name, Address: i.Address.String(), Incarnation: i.Incarnation, Service: "s"}
-					out, refusal, isAborted := b.relay(t, relayer.Request{Ticket: ticket})
+					out := httptest.NewRecorder()
+					refusal, isAborted := b.relay(out, relayer.Request{Ticket: ticket})
 					if isAborted || refusal != nil || out.Body.String() != stream {
 						t.Errorf("aborted %t, refusal %v, response %q; want %q", isAborted, refusal, out.Body.String(), stream)
 					}
--- a/internal/request/relayer/relayer_test.go
+++ b/internal/request/relayer/relayer_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,12 +25,28 @@
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
-// members is a fixed view of the instances.
-type members []foxtailwharf.Instance
+// members is a view of the instances.
+type members struct {
+	mu   sync.Mutex
+	list []foxtailwharf.Instance
+}
+
+// Live returns the instances.
+func (m *members) Live(foxtailwharf.Role) []foxtailwharf.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list
+}
 
-func (m members) Live(foxtailwharf.Role) []foxtailwharf.Instance { return m }
-func (m members) MarkLost(string)                                {}
-func (m members) ShareBans(context.Context)                      {}
+// lose removes all instances.
+func (m *members) lose() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list = nil
+}
+
+func (m *members) MarkLost(string)           {}
+func (m *members) ShareBans(context.Context) {}
 
 const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 
@@ -78,30 +95,23 @@
 	}
 }
 
-// bench is a relayer with the agents that it knows.
+// bench is a relayer and the agents that it knows, on one network.
 type bench struct {
+	t       *testing.T
+	host    foxtailwharf.Network
+	members *members
 	relayer *relayer.Relayer
-	members members
 	servers []*standin.Server
 }
 
 func newBench(t *testing.T, agents ...*agent) *bench {
-	network := standin.NewMemoryNetwork(time.Millisecond, 0)
-	host := network.Host("d", "r", 0)
-	b := &bench{}
-	for n, a := range agents {
-		a.incarnation = fmt.Sprint("incarnation ", n)
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n+1))
-		server, err := standin.Serve(t.Context(), host, address, a)
-		if err != nil {
-			t.Fatal(err)
-		}
-		b.servers = append(b.servers, server)
-		b.members = append(b.members, foxtailwharf.Instance{Name: fmt.Sprint("agent-", n), Incarnation: a.incarnation, Address: address, Service: "s", Version: "v", FailureDomain: "d"})
+	b := &bench{t: t, host: standin.NewMemoryNetwork(time.Millisecond, 0).Host("d", "r", 0), members: &members{}}
+	for _, a := range agents {
+		b.add(a, a)
 	}
 	random := rand.New(rand.NewPCG(1, 1))
 	b.relayer = relayer.New(relayer.Config{
-		Network:        host,
+		Network:        b.host,
 		Members:        b.members,
 		Router:         router.Config{Policy: foxtailwharf.RoutingRoundRobin, FailureDomain: "d", Random: random},
 		Budget:         budgeter.Config{Ratio: 0.1, BaseDelay: time.Millisecond, MaxDelay: time.Millisecond, Random: random},
@@ -112,6 +122,20 @@
 	return b
 }
 
+// add adds an agent whose requests a handler serves.
+func (b *bench) add(a *agent, handler http.Handler) {
+	b.t.Helper()
+	n := len(b.servers)
+	a.incarnation = fmt.Sprint("incarnation ", n)
+	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n+1))
+	server, err := standin.Serve(b.t.Context(), b.host, address, handler)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.servers = append(b.servers, server)
+	b.members.list = append(b.members.list, foxtailwharf.Instance{Name: fmt.Sprint("agent-", n), Incarnation: a.incarnation, Address: address, Service: "s", Version: "v", FailureDomain: "d"})
+}
+
 func (b *bench) close() {
 	b.relayer.Close()
 	for _, server := range b.servers {
@@ -121,19 +145,20 @@
 }
 
 // relay sends one request to the agents. It reports whether the caller's connection was aborted.
-func (b *bench) relay(t *testing.T, q relayer.Request) (out *httptest.ResponseRecorder, refusal *foxtailwharf.Refusal, isAborted bool) {
+func (b *bench) relay(out http.ResponseWriter, q relayer.Request) (refusal *foxtailwharf.Refusal, isAborted bool) {
 	q.Service, q.Method, q.Path, q.Deadline = "s", http.MethodPost, "/", time.Now().Add(30*time.Second)
-	out = httptest.NewRecorder()
 	defer func() { isAborted = recover() != nil }()
-	_, refusal = b.relayer.Relay(t.Context(), out, q)
-	return out, refusal, false
+	_, refusal = b.relayer.Relay(b.t.Context(), out, q)
+	return refusal, false
 }
 
 // relay sends one request to agents. It reports whether the caller's connection was aborted.
 func relay(t *testing.T, agents ...*agent) (out *httptest.ResponseRecorder, refusal *foxtailwharf.Refusal, isAborted bool) {
 	b := newBench(t, agents...)
 	defer b.close()
-	return b.relay(t, relayer.Request{})
+	out = httptest.NewRecorder()
+	refusal, isAborted = b.relay(out, relayer.Request{})
+	return out, refusal, isAborted
 }
 
 // TestFaultyAgents has an agent send responses that are mismatched, duplicated, incomplete or
--- a/internal/request/relayer/sequence_test.go
+++ b/internal/request/relayer/sequence_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 
@@ -30,7 +31,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t, &tt.agents[0], &tt.agents[1])
 				defer b.close()
-				if _, refusal, isAborted := b.relay(t, relayer.Request{}); !isAborted && refusal == nil {
+				if refusal, isAborted := b.relay(httptest.NewRecorder(), relayer.Request{}); !isAborted && refusal == nil {
 					t.Error("the caller got a response that looks whole")
 				}
 				have := 0
@@ -40,7 +41,7 @@
 				if have != tt.want {
 					t.Errorf("the request counts as the cause of %d crashes, want %d", have, tt.want)
 				}
-				_, refusal, _ := b.relay(t, relayer.Request{})
+				refusal, _ := b.relay(httptest.NewRecorder(), relayer.Request{})
 				isBanned := refusal != nil && refusal.Reason == foxtailwharf.ReasonQuarantined
 				if isBanned != (tt.want == 2) {
 					t.Errorf("banned: %t after %d crashes", isBanned, tt.want)
--- a/internal/request/relayer/try.go
+++ b/internal/request/relayer/try.go
@@ -254,9 +254,12 @@
 		if err != nil {
 			return err
 		}
+		// A caller that reads slowly does not make the agent a stalled one.
+		t.watchdog.Stop()
 		if err := t.e.out.writeEvent(answer, event); err != nil {
 			return err
 		}
+		t.watchdog.Reset(streamIdleTimeout)
 	}
 }
 
