Relayer: a silent agent is given up only if another one can take the request

What callers of the product's own interface saw: an agent that sends no heartbeats for 3 s, or no data for 10 s, is given up though no other one is there. A repeatable request is sent once more to the same agent, which begins anew, and then refused; a stream that cannot be resumed is aborted.

Cause: the attempt was cancelled first; whether another agent and a retry are to be had was asked afterwards.

A stalled agent is given up if another one can take the request, whose retry is then taken from the budget at once, or if the fleet has lost the agent; if not, this is asked again after 3 s. Calls with a key are left as they were: the agent keeps their outcome and is asked again. What remains: the first attempt still ends before the second one has begun to be answered.

--- a/internal/request/relayer/exchange.go
+++ b/internal/request/relayer/exchange.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/router"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -22,6 +25,9 @@
 	mayHaveRun   bool
 	retries      int
 	isReadmitted bool // the tried upstreams were made eligible again, which happens once
+	// reserved is the pause before a retry that was taken from the budget while an agent was stalled;
+	// nil for none. It is guarded by the relayer's mutex.
+	reserved *time.Duration
 }
 
 func (e *exchange) isUrgent() bool {
@@ -57,14 +63,7 @@
 	last := foxtailwharf.NotRun(foxtailwharf.ReasonNoUpstream, "no upstream can take the request")
 	last.RetryAfter = time.Second
 	for {
-		i, isFound := e.r.pick(router.Request{
-			Service:   e.req.Service,
-			Version:   e.out.version,
-			IsServing: e.req.Route.Model != "",
-			IsUrgent:  e.isUrgent(),
-			Affinity:  e.req.Affinity,
-			Exclude:   e.excluded,
-		})
+		i, isFound := e.r.pick(e.pickRequest(e.out.version, e.excluded))
 		if !isFound && e.readmitTried(ctx) {
 			continue
 		}
@@ -74,7 +73,7 @@
 		attempt := e.attempt()
 		attempt.Version = e.out.version
 		attempt.ResumeAfter = e.out.lastID
-		o := e.send(ctx, e.r.repeatable, i, attempt)
+		o := e.send(ctx, &try{e: e, client: e.r.repeatable, instance: i, attempt: attempt, canReplace: func() bool { return e.reserve(i) }})
 		if o.isWhole {
 			return nil
 		}
@@ -87,13 +86,65 @@
 		if ban := e.r.checkBan(e.digest); ban != nil {
 			return e.giveUp(ban)
 		}
-		if !e.canContinue(ctx, o) || !e.r.retry(ctx, e.retries) {
+		if !e.canContinue(ctx, o) || !e.retry(ctx) {
 			return e.giveUp(last)
 		}
 		e.retries++
 	}
 }
 
+// pickRequest describes the instance that may get the request, in the version of the part that was sent; empty
+// for none.
+func (e *exchange) pickRequest(version string, excluded map[string]bool) router.Request {
+	return router.Request{
+		Service:   e.req.Service,
+		Version:   version,
+		IsServing: e.req.Route.Model != "",
+		IsUrgent:  e.isUrgent(),
+		Affinity:  e.req.Affinity,
+		Exclude:   excluded,
+	}
+}
+
+// reserve takes a retry from the budget for a request whose agent is stalled, and reports whether the agent is to
+// be given up: if another one can take the request, or if the fleet has lost it.
+func (e *exchange) reserve(stalled foxtailwharf.Instance) bool {
+	agents := e.r.config.Members.Live(foxtailwharf.RoleAgent)
+	isLive := slices.ContainsFunc(agents, func(i foxtailwharf.Instance) bool { return i.Incarnation == stalled.Incarnation })
+	if !isLive {
+		return true
+	}
+	version, canResume := e.out.position()
+	if !canResume {
+		return false
+	}
+	excluded := maps.Clone(e.excluded)
+	excluded[stalled.Incarnation] = true
+	if _, isFound := e.r.pick(e.pickRequest(version, excluded)); !isFound {
+		return false
+	}
+	e.r.mu.Lock()
+	defer e.r.mu.Unlock()
+	pause, isAllowed := e.r.budget.Retry(time.Now(), e.retries)
+	if isAllowed {
+		e.reserved = &pause
+	}
+	return isAllowed
+}
+
+// retry makes the retry that was reserved, or else takes one from the budget. It pauses before it.
+func (e *exchange) retry(ctx context.Context) bool {
+	e.r.mu.Lock()
+	reserved := e.reserved
+	e.reserved = nil
+	e.r.mu.Unlock()
+	if reserved == nil {
+		return e.r.retry(ctx, e.retries)
+	}
+	e.r.config.Meter.Increment(meter.CounterRetried)
+	return sleeper.Sleep(ctx, *reserved)
+}
+
 // readmitTried makes the tried upstreams eligible again if there are no others. It does so once,
 // and not for upstreams that died with a request of the same content.
 func (e *exchange) readmitTried(ctx context.Context) bool {
@@ -146,11 +197,11 @@
 }
 
 // send makes one attempt and records its outcome.
-func (e *exchange) send(ctx context.Context, client *http.Client, i foxtailwharf.Instance, attempt wire.Attempt) outcome {
+func (e *exchange) send(ctx context.Context, t *try) outcome {
+	i := t.instance
 	e.r.mu.Lock()
 	e.r.router.Sent(i.Incarnation, e.isUrgent())
 	e.r.mu.Unlock()
-	t := &try{e: e, client: client, instance: i, attempt: attempt}
 	o := t.run(ctx)
 	e.r.mu.Lock()
 	e.r.router.Returned(i.Incarnation, e.isUrgent())
--- a/internal/request/relayer/once.go
+++ b/internal/request/relayer/once.go
@@ -141,7 +141,8 @@
 			attempt.IsKeyForwarded = true
 			attempt.CallerKey = e.req.Key
 		}
-		o = e.send(ctx, e.r.once, i, attempt)
+		// The agent keeps the outcome of the call, so that it may be asked again.
+		o = e.send(ctx, &try{e: e, client: e.r.once, instance: i, attempt: attempt, canReplace: func() bool { return true }})
 		if o.isWhole {
 			return nil
 		}
--- a/internal/request/relayer/output.go
+++ b/internal/request/relayer/output.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,7 @@
 	started  time.Time
 	limit    int64 // maximum size in bytes of a response that is not forwarded by event
 
+	mu        sync.Mutex // held while the next three change
 	isStarted bool
 	version   string // version that produced the part that was sent; empty before the start
 	lastID    string // ID of the last event that was sent
@@ -52,14 +54,24 @@
 	return !o.isStarted || answer.Version == o.version
 }
 
+// position returns the version of the part that was sent, and whether another agent may go on after it. It is safe
+// for concurrent use.
+func (o *output) position() (version string, canResume bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.version, !o.isStarted || o.lastID != ""
+}
+
 // writeHead sends the status and headers of the response, once. A negative length sets no
 // Content-Length.
 func (o *output) writeHead(answer wire.Answer, length int) {
 	if o.isStarted {
 		return
 	}
+	o.mu.Lock()
 	o.isStarted = true
 	o.version = answer.Version
+	o.mu.Unlock()
 	header := o.w.Header()
 	if answer.ContentType != "" {
 		header.Set("Content-Type", answer.ContentType)
@@ -100,7 +112,9 @@
 	o.events++
 	o.bytes += int64(len(event.Text))
 	if event.ID != "" {
+		o.mu.Lock()
 		o.lastID = event.ID
+		o.mu.Unlock()
 	}
 	return nil
 }
--- a/internal/request/relayer/try.go
+++ b/internal/request/relayer/try.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,8 +20,8 @@
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
-// Times without heartbeats or data after which an agent counts as stalled: before the response
-// begins, and during it.
+// Times without heartbeats or data after which an agent counts as stalled, if another one can take the
+// request: before the response begins, and during it.
 const (
 	heartbeatTimeout  = 3 * runner.HeartbeatInterval
 	streamIdleTimeout = 10 * time.Second
@@ -72,6 +73,12 @@
 	isSent   atomic.Bool
 	cancel   context.CancelCauseFunc
 	watchdog *time.Timer
+	// canReplace reports whether a stalled agent is given up. It is called while the attempt is under way, from
+	// another goroutine.
+	canReplace func() bool
+
+	mu      sync.Mutex
+	isEnded bool
 }
 
 // errStalled is the cause with which a stalled attempt is cancelled.
@@ -82,8 +89,10 @@
 	var guarded context.Context
 	guarded, t.cancel = context.WithCancelCause(ctx)
 	defer t.cancel(nil)
-	t.watchdog = time.AfterFunc(heartbeatTimeout, func() { t.cancel(errStalled) })
-	defer t.watchdog.Stop()
+	// The timer is started only once the field that handleSilence uses is set.
+	t.watchdog = time.AfterFunc(time.Hour, t.handleSilence)
+	t.watchdog.Reset(heartbeatTimeout)
+	defer t.end()
 	request, err := t.request(guarded)
 	if err != nil {
 		return outcome{refusal: foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, err.Error()), isFinal: true}
@@ -96,6 +105,27 @@
 	return t.read(guarded, response)
 }
 
+// handleSilence gives up a stalled agent if another one can take the request, and waits on if not.
+func (t *try) handleSilence() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.isEnded:
+	case t.canReplace():
+		t.cancel(errStalled)
+	default:
+		t.watchdog.Reset(heartbeatTimeout)
+	}
+}
+
+// end ends the attempt, after which canReplace is not called any more.
+func (t *try) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isEnded = true
+	t.watchdog.Stop()
+}
+
 // request builds the HTTP request. It has no GetBody and no header that would let net/http send
 // it again.
 func (t *try) request(ctx context.Context) (*http.Request, error) {
