Evidence that waited while a process stood still is not new

What callers would see: a process that was stopped for some time and goes on finds messages and broken connections that waited. Crashes told then counted as just happened, so that a part which had begun to be answered since was banned, at all entries.

Cause: what an entry finds bears its age when it was sent, or none; the time that it waited was not added.

Evidence, before the change: TestBacklogIsNotNew/stood_still: "1 bans at the entry that has answered a call with the part, want 0"; TestSeenAfterStandstillIsOld: crashes and proofs 1 and 2 ms old, want 1.5 s.

The change: the forwarder notes how long it last stood still, by the boot clock and its tenfold look at the evidence a second. What comes before the next look, or within a second after it, may be that much older, and counts as that old: crashes, proofs, bans, and what the entry itself sees. An older crash is disproved by more answers, an older proof disproves fewer crashes, and a ban ends no later.

Measured: both tests pass, with those of the isolator and TestCrashingPromptPart. Releases needed no change: after a gap of four seconds they count as named at an unknown time, and the earliest time that any process tells counts.

--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -28,7 +28,8 @@
 // ended.
 type suspectedCrash struct {
 	upstream foxtailwharf.Upstream
-	at       time.Time
+	at       time.Time // the earliest
+	seenAt   time.Time
 	parts    []string // of a call that had not begun to be answered
 }
 
@@ -44,6 +45,12 @@
 	return time.Unix(0, 0).Add(f.c.Clock())
 }
 
+// earliest returns the earliest time at which what this entry sees now may have happened. The lock must be held.
+func (f *Forwarder) earliest() time.Time {
+	now := f.evidenceTime()
+	return now.Add(-f.standstill.waited(now))
+}
+
 // TakeUnsentBans returns up to limit bans and suspicions found by this entry that the others
 // have not been sent.
 func (f *Forwarder) TakeUnsentBans(limit int) []quarantiner.Ban {
@@ -72,7 +79,11 @@
 func (f *Forwarder) MergeBan(ban quarantiner.Ban) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.quarantine.Merge(f.evidenceTime(), ban)
+	now := f.evidenceTime()
+	waited := f.standstill.waited(now)
+	ban.Age += waited
+	ban.Remaining -= waited
+	f.quarantine.Merge(now, ban)
 }
 
 // recordCrash records that an upstream ended with a call in flight. Other entries are told at the
@@ -136,14 +147,14 @@
 func (f *Forwarder) suspectCrash(upstream foxtailwharf.Upstream, parts []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.suspected = append(f.suspected, suspectedCrash{upstream: upstream, at: f.evidenceTime(), parts: parts})
+	f.suspected = append(f.suspected, suspectedCrash{upstream: upstream, at: f.earliest(), seenAt: f.evidenceTime(), parts: parts})
 }
 
 // recordBegin records that a call began to be answered, so that the parts of its prompt crash no engine.
 func (f *Forwarder) recordBegin(parts []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.isolator.RecordBegin(f.evidenceTime(), parts)
+	f.isolator.RecordBegin(f.earliest(), parts)
 }
 
 // Isolate weighs the evidence on parts of prompts that crash engines: it confirms crashes and, if this
@@ -151,6 +162,7 @@
 func (f *Forwarder) Isolate(role isolator.Role) isolator.Evidence {
 	now := f.evidenceTime()
 	f.mu.Lock()
+	f.standstill.pulse(now)
 	suspected := f.suspected
 	f.suspected = nil
 	f.mu.Unlock()
@@ -166,7 +178,7 @@
 		case isLost[upstream] || f.isolator.HasCrash(upstream):
 			f.isolator.RecordCrash(now, s.at, upstream, s.parts)
 			f.c.Log.Info("quarantine: engine crashed", zap.String("Upstream", s.upstream.ID), zap.Strings("PromptParts", s.parts))
-		case now.Sub(s.at) < confirmTime:
+		case now.Sub(s.seenAt) < confirmTime:
 			f.suspected = append(f.suspected, s)
 		}
 	}
@@ -181,7 +193,8 @@
 func (f *Forwarder) MergeEvidence(e isolator.Evidence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.enforce(f.isolator.Merge(f.evidenceTime(), e))
+	now := f.evidenceTime()
+	f.enforce(f.isolator.Merge(now, e.Older(f.standstill.waited(now))))
 }
 
 // PartBans returns the bans of parts of prompts.
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -62,6 +62,7 @@
 	quarantine *quarantiner.Quarantiner
 	isolator   *isolator.Isolator
 	suspected  []suspectedCrash
+	standstill standstill
 	pending    map[*exchange]bool // calls with shared prompt parts that have not begun to be answered
 	random     *rand.Rand
 }
--- a/internal/request/isolator/evidence.go
+++ b/internal/request/isolator/evidence.go
@@ -39,6 +39,22 @@
 	IsLifting bool  // a proof changes a ban
 }
 
+// Older returns evidence that has waited for a time since its ages were told.
+func (e Evidence) Older(waited time.Duration) Evidence {
+	e.Crashes, e.Proofs, e.Bans = slices.Clone(e.Crashes), slices.Clone(e.Proofs), slices.Clone(e.Bans)
+	for n := range e.Crashes {
+		e.Crashes[n].Age += waited
+	}
+	for n := range e.Proofs {
+		e.Proofs[n].Age += waited
+	}
+	for n := range e.Bans {
+		e.Bans[n].Age += waited
+		e.Bans[n].Remaining -= waited
+	}
+	return e
+}
+
 // TakeUnsent returns what this entry has found itself and not returned before. It returns crashes
 // several times.
 func (i *Isolator) TakeUnsent(now time.Time) (e Evidence) {
