Simulator: two flows of calls draw times of their own

What the tests saw: two flows of a route at about the same rate sent each call at the same moment and to the same entry, as did flows of routes whose names are equally long.

Cause: the seed was made of the length of the route's name and the whole calls a second.

No test has had two such flows.

Change: later flows of the same make get another seed; the two functions that draw such times are one.

Measured: all tests of standin/simulator pass.

--- a/standin/simulator/harness_test.go
+++ b/standin/simulator/harness_test.go
@@ -35,6 +35,7 @@
 	t       *testing.T
 	client  *http.Client
 	callers sync.WaitGroup
+	flows   map[[2]uint64]uint64 // number of flows so far, by what their seeds are made of
 
 	mu      sync.Mutex
 	lastID  int
@@ -64,7 +65,7 @@
 func run(t *testing.T, c simulator.Config, emptyEngines int, scenario func(h *harness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		h := &harness{t: t, results: make(map[string][]result), entries: make(map[string]string)}
+		h := &harness{t: t, results: make(map[string][]result), entries: make(map[string]string), flows: make(map[[2]uint64]uint64)}
 		c.OnStart = func(call, _ string, weights int64) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -171,18 +172,29 @@
 	return scanner.Err() == nil && response.StatusCode == http.StatusOK && next > 1
 }
 
-// load sends calls of a route through random entries, as a Poisson process of a rate.
-func (h *harness) load(route string, perSecond float64, length time.Duration, promptTokens int) {
-	random := rand.New(rand.NewPCG(uint64(len(route)), uint64(perSecond)))
+// flow calls send in a goroutine of its own at the times of a Poisson process of a rate, and end at the end.
+// Each flow draws numbers of its own.
+func (h *harness) flow(route string, perSecond float64, length time.Duration, send func(random *rand.Rand), end func()) {
+	seed := [2]uint64{uint64(len(route)), uint64(perSecond)}
+	random := rand.New(rand.NewPCG(seed[0]+h.flows[seed]<<32, seed[1]))
+	h.flows[seed]++
 	h.callers.Go(func() {
-		for end := time.Now().Add(length); time.Now().Before(end); {
+		defer end()
+		for until := time.Now().Add(length); time.Now().Before(until); {
 			time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
-			entry := h.Entries[random.IntN(len(h.Entries))]
-			h.callers.Go(func() { h.call(entry, route, simulator.Key, promptTokens) })
+			send(random)
 		}
 	})
 }
 
+// load sends a flow of calls of a route through random entries.
+func (h *harness) load(route string, perSecond float64, length time.Duration, promptTokens int) {
+	h.flow(route, perSecond, length, func(random *rand.Rand) {
+		entry := h.Entries[random.IntN(len(h.Entries))]
+		h.callers.Go(func() { h.call(entry, route, simulator.Key, promptTokens) })
+	}, func() {})
+}
+
 // onTime returns the fraction of a route's calls that were whole with the first event within the
 // goal, and the fraction that were whole.
 func (h *harness) onTime(route string, goal time.Duration) (onTime, served float64) {
--- a/standin/simulator/overload_test.go
+++ b/standin/simulator/overload_test.go
@@ -45,19 +45,14 @@
 	return v
 }
 
-// returningCallers sends such callers of a route as a Poisson process of a rate. The channel is closed after the
-// last one.
+// returningCallers sends a flow of such callers of a route. The channel gets an empty result after the last
+// one has been sent.
 func (h *harness) returningCallers(route string, perSecond float64, length time.Duration, promptTokens int) <-chan callerResult {
-	random := rand.New(rand.NewPCG(uint64(len(route)), uint64(perSecond)))
 	all := make(chan callerResult, 2*int(perSecond*length.Seconds())+100)
-	h.callers.Go(func() {
-		defer func() { all <- callerResult{} }()
-		for end := time.Now().Add(length); time.Now().Before(end); {
-			time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
-			entries := []*simulator.Entry{h.Entries[random.IntN(len(h.Entries))], h.Entries[random.IntN(len(h.Entries))]}
-			h.callers.Go(func() { all <- h.callTwice(entries, route, promptTokens) })
-		}
-	})
+	h.flow(route, perSecond, length, func(random *rand.Rand) {
+		entries := []*simulator.Entry{h.Entries[random.IntN(len(h.Entries))], h.Entries[random.IntN(len(h.Entries))]}
+		h.callers.Go(func() { all <- h.callTwice(entries, route, promptTokens) })
+	}, func() { all <- callerResult{} })
 	return all
 }
 
