Simulator: links with rates, a store with pages and a rate, plain upstreams; bytes between regions by kind

The in-memory network gave datagrams no part of a link, and entries read the store in no time, so that what a large fleet waits for after a failure of everything could not be seen. All of this only where a test sets the rates.

--- a/standin/network.go
+++ b/standin/network.go
@@ -20,6 +20,8 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxSegmentBytes is the size of the parts into which a write is split.
 	maxSegmentBytes = 64 << 10
+	// maxDatagramDelay is the queue of a link, as a time, from which on it drops datagrams.
+	maxDatagramDelay = 100 * time.Millisecond
 )
 
 // MemoryNetwork is an in-memory network with limited link rates, latency and partitions. It
@@ -74,6 +76,19 @@
 	return l.busyUntil
 }
 
+// carry reserves the capacity of the link for a datagram and returns when it is through, or false if the
+// link's queue is too long for it.
+func (l *link) carry(now time.Time, bytes int) (time.Time, bool) {
+	if l.rate == 0 {
+		return now, true
+	}
+	if l.busyUntil.Sub(now) > maxDatagramDelay {
+		return now, false
+	}
+	l.busyUntil = later(now, l.busyUntil).Add(time.Duration(int64(bytes) * int64(time.Second) / l.rate))
+	return l.busyUntil, true
+}
+
 // Host is a machine on a MemoryNetwork. It implements foxtailwharf.Network.
 type Host struct {
 	network *MemoryNetwork
@@ -231,17 +246,27 @@
 	now := time.Now()
 	arrival := later(from.up.reserve(now, bytes), to.down.reserve(now, bytes))
 	if from.region != to.region {
-		key := [2]string{from.region, to.region}
-		l, isUsed := n.regionLinks[key]
-		if !isUsed {
-			l = &link{rate: n.rate}
-			n.regionLinks[key] = l
-		}
-		arrival = later(arrival, l.reserve(now, bytes))
+		arrival = later(arrival, n.regionLink(from.region, to.region).reserve(now, bytes))
 	}
 	return arrival.Add(n.latency)
 }
 
+// regionLink returns the link from one region to another. The lock must be held.
+func (n *MemoryNetwork) regionLink(from, to string) *link {
+	key := [2]string{from, to}
+	l, isUsed := n.regionLinks[key]
+	if !isUsed {
+		l = &link{rate: n.rate}
+		n.regionLinks[key] = l
+	}
+	return l
+}
+
+// Transfer blocks while a number of bytes goes from another machine to this one.
+func (h *Host) Transfer(from *Host, bytes int) {
+	time.Sleep(time.Until(h.network.transfer(from, h, bytes)))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/standin/packets.go
+++ b/standin/packets.go
@@ -11,6 +11,9 @@
 	"github.com/pkg/errors"
 )
 
+// maxDatagramBytes is the size of the largest datagram of UDP over IPv4.
+const maxDatagramBytes = 65507
+
 // maxQueuedDatagrams is the number of datagrams queued at a socket; further ones are lost.
 const maxQueuedDatagrams = 256
 
@@ -59,12 +62,12 @@
 	if !isUDP {
 		return 0, errors.Errorf("memorySocket.WriteTo: %s is not a UDP address", to)
 	}
+	if len(p) > maxDatagramBytes {
+		return 0, errors.Errorf("memorySocket.WriteTo: a datagram of %d bytes is too long", len(p))
+	}
 	n := s.host.network
 	n.mu.Lock()
 	target := n.sockets[udp.AddrPort()]
-	if target != nil && target.host.region != s.host.region {
-		n.regionDatagrams += int64(len(p) + datagramHeaderBytes)
-	}
 	n.mu.Unlock()
 	if target == nil || s.host.killed() {
 		return len(p), nil
@@ -72,8 +75,12 @@
 	if isPartitioned, _ := n.isPartitioned(s.host.domain, target.host.domain); isPartitioned {
 		return len(p), nil
 	}
+	arrival, isCarried := n.carryDatagram(s.host, target.host, len(p)+datagramHeaderBytes)
+	if !isCarried {
+		return len(p), nil
+	}
 	d := datagram{from: s.address, data: append([]byte(nil), p...)}
-	time.AfterFunc(n.latency, func() {
+	time.AfterFunc(time.Until(arrival), func() {
 		select {
 		case target.incoming <- d:
 		default:
@@ -82,6 +89,30 @@
 	return len(p), nil
 }
 
+// carryDatagram reserves the links between two hosts for a datagram and returns when it arrives, or false if
+// one of them drops it.
+func (n *MemoryNetwork) carryDatagram(from, to *Host, bytes int) (time.Time, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	links := []*link{from.up, to.down}
+	if from.region != to.region {
+		n.regionDatagrams += int64(bytes)
+		if n.rate > 0 {
+			links = append(links, n.regionLink(from.region, to.region))
+		}
+	}
+	arrival := now
+	for _, l := range links {
+		through, isCarried := l.carry(now, bytes)
+		if !isCarried {
+			return now, false
+		}
+		arrival = later(arrival, through)
+	}
+	return arrival.Add(n.latency), true
+}
+
 // Close closes the socket and frees its address.
 func (s *memorySocket) Close() error {
 	s.host.network.mu.Lock()
--- a/standin/simulator/engine.go
+++ b/standin/simulator/engine.go
@@ -43,7 +43,7 @@
 	}
 	e.SlotEngine = standin.NewSlotEngine(engineConfig)
 	f.Engines = append(f.Engines, e)
-	e.host = f.network.Host(f.failureDomain(index), f.failureDomain(index), 0)
+	e.host = f.network.Host(f.failureDomain(index), f.failureDomain(index), f.c.Links.Engine)
 	var err error
 	if e.server, err = standin.Serve(ctx, e.host, e.address(), e.SlotEngine); err != nil {
 		return nil, errors.Wrap(err, "Fleet.AddEngine")
@@ -98,6 +98,15 @@
 	return e.StartAgent(ctx)
 }
 
+// KillAgent ends the agent, which completes nothing. The engine goes on.
+func (e *Engine) KillAgent(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	cancel()
+	// The error is that of the cancelled context.
+	_ = e.agent.Stop(ctx)
+	e.cancel()
+}
+
 // LosePower stops the engine, its machine and the agent, and discards all staged chunks. The engine
 // starts again after restartDelay, machine and agent with Restart.
 func (e *Engine) LosePower(restartDelay time.Duration) {
@@ -109,7 +118,7 @@
 // Restart starts the agent and serves the engine on a new machine, after LosePower.
 func (e *Engine) Restart(ctx context.Context) error {
 	e.server.Close()
-	e.host = e.f.network.Host(e.f.failureDomain(e.index), e.f.failureDomain(e.index), 0)
+	e.host = e.f.network.Host(e.f.failureDomain(e.index), e.f.failureDomain(e.index), e.f.c.Links.Engine)
 	var err error
 	if e.server, err = standin.Serve(ctx, e.host, e.address(), e.SlotEngine); err != nil {
 		return errors.Wrap(err, "Engine.Restart")
--- a/standin/simulator/entry.go
+++ b/standin/simulator/entry.go
@@ -27,9 +27,9 @@
 // Start starts the entry on a new machine, also after Kill.
 func (e *Entry) Start(ctx context.Context) error {
 	e.isKilled = false
-	e.host = e.f.network.Host(e.f.failureDomain(e.index), e.f.failureDomain(e.index), 0)
+	e.host = e.f.network.Host(e.f.failureDomain(e.index), e.f.failureDomain(e.index), e.f.c.Links.Entry)
 	e.process = distributor.New(distributor.Config{
-		Settings: e.settings(), Store: e.f.Store.View(e.Name), Dialect: standin.Dialect{}, Network: e.host, PacketListener: e.host,
+		Settings: e.settings(), Store: &linkedStore{FleetStore: e.f.Store.View(e.Name), f: e.f, host: e.host}, Dialect: standin.Dialect{}, Network: e.host, PacketListener: e.host,
 		Clock: e.f.clock, Log: zap.NewNop(), Seed: uint64(e.index) + 1,
 	})
 	ctx, e.cancel = context.WithCancel(ctx)
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,7 @@
 	enginePort     = 8090
 	crashRestart   = 3500 * time.Millisecond
 	model          = "m"
+	plainService   = "plain"
 	// Service is the name of the engines' service, Key the key of a caller.
 	Service = "llm"
 	Key     = "k1"
@@ -39,6 +41,10 @@
 	Events  int // number of events in each response
 	// Domains is the number of failure domains, each in a region of its own; 0 means three.
 	Domains int
+	// Links are the rates of the network; nil for no limits.
+	Links *Links
+	// Plain is the number of upstreams of a plain service on the platform's list. They have no machines.
+	Plain int
 	// OnArrive is called when a call reaches an engine, and OnStart when it begins to run there.
 	OnArrive func(call, engine string)
 	OnStart  func(call, engine string, weights int64)
@@ -47,15 +53,27 @@
 	CrashingParts []string
 }
 
+// Links are rates of the network, in bytes per second in each direction, and of the platform's store, in calls
+// per second.
+type Links struct {
+	Entry, Engine, Region, Store int64
+	StoreReads                   int
+}
+
 // Fleet is a fleet under test.
 type Fleet struct {
 	c         Config
+	storeHost *standin.Host
 	Store     *standin.FleetStore
 	Origin    *Origin
 	network   *standin.MemoryNetwork
 	createdAt time.Time
 	Entries   []*Entry
 	Engines   []*Engine
+
+	mu         sync.Mutex
+	readsSince time.Time // start of the second in which reads are counted
+	reads      int       // calls to the store in it
 }
 
 // New returns a fleet; Start starts it.
@@ -63,13 +81,18 @@
 	if c.Domains == 0 {
 		c.Domains = defaultDomains
 	}
-	return &Fleet{
+	if c.Links == nil {
+		c.Links = &Links{}
+	}
+	f := &Fleet{
 		c:         c,
 		Store:     standin.NewFleetStore(),
 		Origin:    &Origin{chunks: make(map[string][]byte), addresses: make(map[netip.AddrPort]bool)},
-		network:   standin.NewMemoryNetwork(time.Millisecond, 0),
+		network:   standin.NewMemoryNetwork(time.Millisecond, c.Links.Region),
 		createdAt: time.Now(),
 	}
+	f.storeHost = f.network.Host(f.failureDomain(0), f.failureDomain(0), c.Links.Store)
+	return f
 }
 
 // failureDomain returns the failure domain of a machine, which is also the name of its region.
@@ -94,6 +117,7 @@
 const (
 	kindEntry = iota
 	kindEngine
+	kindPlain
 )
 
 func (f *Fleet) settings(kind, index int, name string) foxtailwharf.FleetSettings {
@@ -117,6 +141,9 @@
 // hold version 1.
 func (f *Fleet) Start(ctx context.Context, emptyEngines int) error {
 	f.Store.PutConfiguration(f.Configuration(1, Key))
+	for index := range f.c.Plain {
+		f.Store.PutUpstream(f.plainUpstream(index))
+	}
 	for index := range f.c.Entries {
 		f.Entries = append(f.Entries, &Entry{Name: fmt.Sprintf("entry-%d", index), f: f, index: index})
 		if err := f.Entries[index].Start(ctx); err != nil {
@@ -131,13 +158,22 @@
 	return nil
 }
 
+// plainUpstream returns an upstream of the plain service.
+func (f *Fleet) plainUpstream(index int) foxtailwharf.Upstream {
+	return foxtailwharf.Upstream{
+		ID: fmt.Sprintf("plain-%d", index), Service: plainService, FailureDomain: f.failureDomain(index), Slots: f.c.Slots,
+		Address: netip.AddrPortFrom(machineAddress(kindPlain, index), enginePort), Born: f.createdAt,
+	}
+}
+
 // Configuration returns a configuration that accepts the given keys.
 func (f *Fleet) Configuration(version int64, keys ...string) foxtailwharf.Configuration {
 	c := foxtailwharf.Configuration{
 		Version: version,
 		Services: map[string]foxtailwharf.CallService{
-			Service: {Name: Service, Engine: &foxtailwharf.EngineModel{Model: model, Slots: f.c.Slots, ReadRate: 20_000}},
-			"src":   {Name: "src", Origin: netip.MustParseAddrPort("10.9.9.8:80"), OriginDomain: "d0"},
+			Service:      {Name: Service, Engine: &foxtailwharf.EngineModel{Model: model, Slots: f.c.Slots, ReadRate: 20_000}},
+			plainService: {Name: plainService},
+			"src":        {Name: "src", Origin: netip.MustParseAddrPort("10.9.9.8:80"), OriginDomain: "d0"},
 		},
 		Keys: make(map[string]foxtailwharf.CallAccount),
 	}
@@ -213,3 +249,14 @@
 	r.Header.Set(standin.HeaderPromptTokens, fmt.Sprint(promptTokens))
 	return r, nil
 }
+
+// Counter returns the sum of a counter of the metrics over all running processes.
+func (f *Fleet) Counter(name string) (sum int64) {
+	for _, e := range f.Entries {
+		sum += e.process.Counter(name)
+	}
+	for _, e := range f.Engines {
+		sum += e.agent.Counter(name)
+	}
+	return sum
+}
