Agents ask for the list of agents, once

After a failure of everything, and after each change of the list, all entries of an agent sent it the whole list in each notice until its next report, entries of other regions too while it had none: 18.4 MB between regions in the first 3 s of 150 entries and 150 agents, so that the reports that entries wait for stood behind lists. Cause found by the counters of datagrams and by a fleet with the links of the large site.

An agent now asks one entry for the list that a notice names (WantsAgents), first one of its own failure domain, again after 250 ms, one of another domain only if it has none after 600 ms. Entries send it unasked only to agents of their own domain that lack it for 2 s (older builds, lost messages). The list and its digest are built once for each change of the list instead of at each notice.

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -62,22 +62,21 @@
 func (d *Distributor) notify() time.Duration {
 	v := d.follower.View()
 	d.mu.Lock()
-	agents, chosen := byService(d.agents), byService(d.chosen)
+	published, chosen := d.published, byService(d.chosen)
 	d.mu.Unlock()
-	if v.Configuration == nil || len(agents) == 0 {
+	if v.Configuration == nil || len(published) == 0 {
 		return urgentInterval
 	}
 	d.updateBalancer()
 	interval := noticeInterval
-	for service, list := range agents {
+	for service, list := range published {
 		notice := d.notice(v, service)
-		domains := domainsOf(list)
-		notice.Digest = digestOf(domains)
+		notice.Digest = list.digest
 		if notice.Release > 0 && notice.AgeMillis < urgentPeriod.Milliseconds() {
 			interval = urgentInterval
 		}
 		for _, u := range chosen[service] {
-			d.sendNotice(u, notice, domains)
+			d.sendNotice(u, notice, list.domains)
 		}
 	}
 	return interval
@@ -133,6 +132,22 @@
 	d.notifier.Send(d.kind(kindCall, u.FailureDomain), wire.FleetNotice{PlacedTokens: max(tokens, 1)}, d.c.Settings.PeerAddress(u.Address.Addr()))
 }
 
+// publishedList is the list of a service's agents as the agents get it.
+type publishedList struct {
+	domains []wire.FleetDomain
+	digest  string
+}
+
+// publish returns the lists of the agents of all services.
+func publish(agents []foxtailwharf.Upstream) map[string]publishedList {
+	lists := make(map[string]publishedList)
+	for service, list := range byService(agents) {
+		domains := domainsOf(list)
+		lists[service] = publishedList{domains: domains, digest: digestOf(domains)}
+	}
+	return lists
+}
+
 // domainsOf lists the agents that are not draining, by failure domain.
 func domainsOf(list []foxtailwharf.Upstream) (domains []wire.FleetDomain) {
 	byName := make(map[string][]string)
@@ -170,26 +185,46 @@
 	revision uint64 // store revision of the list
 }
 
-// sendNotice sends a notice to an agent. It includes the list of agents only if the agent has a
-// different one that is not newer. Only entries in the agent's own failure domain include it, except
-// that every entry does while the agent has none.
+// pushDelay is how long an agent may have another list of agents before it gets one that it has not asked for.
+const pushDelay = 2 * time.Second
+
+// sendNotice sends a notice to an agent. An agent that lacks the list of agents asks for it. Only one that has
+// not done so for pushDelay gets it from the entries of its own failure domain.
 func (d *Distributor) sendNotice(u foxtailwharf.Upstream, notice wire.FleetNotice, domains []wire.FleetDomain) {
-	held, delay := d.listAndDelay(u.Address.Addr())
+	now := time.Now()
+	held, delay := d.listAndDelay(now, u.Address.Addr())
 	kind := kindNotice
 	notice.ReportDelayMillis = delay.Milliseconds()
 	isNear := u.FailureDomain == d.c.Settings.FailureDomain
-	if held.digest != notice.Digest && held.revision <= notice.ListRevision && (isNear || held.digest == "") {
+	isLacking := isNear && held.digest != notice.Digest && held.revision <= notice.ListRevision
+	if d.hasLackedFor(now, u.Address.Addr(), isLacking) >= pushDelay {
 		notice.Domains = domains
 		kind = kindAgents
 	}
 	d.notifier.Send(d.kind(kind, u.FailureDomain), notice, d.c.Settings.PeerAddress(u.Address.Addr()))
 }
 
+// hasLackedFor returns how long an agent has lacked the list of agents, and records whether it does now.
+func (d *Distributor) hasLackedFor(now time.Time, agent netip.Addr, isLacking bool) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !isLacking {
+		delete(d.lackingSince, agent)
+		return 0
+	}
+	since, isKnown := d.lackingSince[agent]
+	if !isKnown {
+		d.lackingSince[agent] = now
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // listAndDelay returns the list that an agent has and the delay of its reports.
-func (d *Distributor) listAndDelay(address netip.Addr) (agentList, time.Duration) {
+func (d *Distributor) listAndDelay(now time.Time, address netip.Addr) (agentList, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.lists[address], d.reportDelay(time.Now(), address)
+	return d.lists[address], d.reportDelay(now, address)
 }
 
 // reportDelay returns how long an agent's reports are delayed beyond the delay that all senders
@@ -233,7 +268,7 @@
 	d.mu.Lock()
 	d.lists[from.Addr()] = agentList{digest: report.Digest, revision: report.ListRevision}
 	d.mu.Unlock()
-	d.sendFirstNotice(from, report)
+	d.answerReport(from, report)
 	d.handleEntries(report.Entries)
 	if report.Release > 0 {
 		newest := wire.NamedRelease{Version: report.Release, AgeMillis: report.ReleaseAgeMillis}
@@ -258,20 +293,28 @@
 	}
 }
 
-// sendFirstNotice answers a report of an agent that has just started and has no list of agents
-// yet. The store may not list its upstream yet.
-func (d *Distributor) sendFirstNotice(to netip.AddrPort, report wire.FleetReport) {
+// answerReport answers a report of an agent that asks for the list of agents, or that has just started and has
+// none yet. The store may not list the upstream of the latter yet.
+func (d *Distributor) answerReport(to netip.AddrPort, report wire.FleetReport) {
 	v := d.follower.View()
-	if report.Service == "" || report.Digest != "" || v.Configuration == nil || v.Configuration.Services[report.Service].Engine == nil {
+	isStarting := report.Service != "" && report.Digest == ""
+	if !isStarting && !report.WantsAgents {
+		return
+	}
+	if v.Configuration == nil || v.Configuration.Services[report.Service].Engine == nil {
 		return
 	}
 	d.mu.Lock()
-	agents := d.agents
+	list := d.published[report.Service]
 	d.mu.Unlock()
 	notice := d.notice(v, report.Service)
-	notice.Domains = domainsOf(byService(agents)[report.Service])
-	notice.Digest = digestOf(notice.Domains)
-	d.notifier.Send(notifier.Kind{Name: kindFirst, IsFar: true}, notice, to)
+	notice.Digest = list.digest
+	kind := kindFirst
+	if report.WantsAgents {
+		notice.Domains = list.domains
+		kind = kindAgents
+	}
+	d.notifier.Send(notifier.Kind{Name: kind, IsFar: true}, notice, to)
 }
 
 // otherEntry is another entry, as an agent or an entry last listed it.
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -92,8 +92,10 @@
 	// hasReleases is set once the releases have been read from the store.
 	hasReleases    bool
 	agents         []foxtailwharf.Upstream        // upstreams with an engine, of all services
+	published      map[string]publishedList       // the same by service, as the agents get it
 	chosen         []foxtailwharf.Upstream        // agents with which this entry exchanges messages
 	lists          map[netip.Addr]agentList       // list that each agent last reported
+	lackingSince   map[netip.Addr]time.Time       // since when agents lack the list of agents
 	delayestimator *delayestimator.DelayEstimator // delays of the agents' reports
 	fullLinks      map[netip.Addr]bool            // machines whose links are saturated, for the log
 	entries        map[netip.AddrPort]otherEntry
@@ -119,6 +121,7 @@
 		client:         messenger.NewClient(c.Network),
 		timekeeper:     timekeeper.New(timekeeper.Config{Switch: c.Settings.Switch}),
 		lists:          make(map[netip.Addr]agentList),
+		lackingSince:   make(map[netip.Addr]time.Time),
 		delayestimator: delayestimator.New(),
 		fullLinks:      make(map[netip.Addr]bool),
 		notifyNow:      make(chan struct{}, 1),
--- a/internal/process/distributor/releases.go
+++ b/internal/process/distributor/releases.go
@@ -39,7 +39,7 @@
 		d.addRelease(r, !d.hasReleases || d.mayBeLate())
 	}
 	d.hasReleases = d.hasReleases || v.HasReleases
-	d.agents, d.chosen = nil, nil
+	d.agents, d.chosen, d.published = nil, nil, nil
 	if v.Configuration == nil {
 		return
 	}
@@ -53,6 +53,7 @@
 			d.agents = append(d.agents, u)
 		}
 	}
+	d.published = publish(d.agents)
 	d.chosen = subsetter.Choose(d.c.Settings.Name, d.c.Settings.FailureDomain, d.agents)
 }
 
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -109,6 +109,9 @@
 	digest          string   // digest of agents as the entries sent it
 	revision        uint64   // revision of the store at which agents was read
 	domain          []string // machines of this agent's failure domain
+	firstNotice     time.Time
+	askedAt         time.Time      // last question for the list of agents
+	asked           netip.AddrPort // entry that is still to be asked; zero for none
 	entries         map[netip.AddrPort]entry
 	originRegion    string
 	originRate      int64 // in bytes per second; 0 if unknown
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -117,6 +117,7 @@
 func (r *reporter) sendReports() {
 	now := time.Now()
 	report, near, far := r.report(now)
+	r.askForAgents(report)
 	if len(near)+len(far) == 0 {
 		r.reportToSeeds(now, report)
 		return
@@ -149,6 +150,7 @@
 // Kinds of reports in the metrics.
 const (
 	kindReport  = "Report"
+	kindAsk     = "Ask"         // a report that asks for the list of agents
 	kindEntries = "Entries"     // a report with the list of the entries
 	kindSeed    = "FirstReport" // to a seed, whose failure domain is unknown
 )
@@ -174,6 +176,17 @@
 	}
 }
 
+// askForAgents sends the question for the list of agents that is due.
+func (r *reporter) askForAgents(report wire.FleetReport) {
+	asked := r.p.takeAsked()
+	if !asked.IsValid() {
+		return
+	}
+	report = shortened(report)
+	report.Service, report.WantsAgents = r.p.c.Settings.Service, true
+	r.p.notifier.Send(notifier.Kind{Name: kindAsk}, report, asked)
+}
+
 // shortened returns the report without the entries and the release, which rarely change.
 func shortened(report wire.FleetReport) wire.FleetReport {
 	report.Entries, report.Model, report.Release, report.ReleaseAgeMillis = nil, "", 0, 0
@@ -273,11 +286,47 @@
 		p.originRate = n.OriginRate
 	}
 	p.updateReleases(n, arrived)
-	if len(n.Domains) > 0 && n.Digest != p.digest && (n.ListRevision > p.revision || p.digest == "") {
+	if n.Digest == p.digest || (n.ListRevision <= p.revision && p.digest != "") {
+		return
+	}
+	if len(n.Domains) > 0 {
 		p.updateAgents(n)
+	} else {
+		p.askForAgents(now, from)
 	}
 }
 
+const (
+	// askInterval is the time between two questions for the list of agents.
+	askInterval = 250 * time.Millisecond
+	// farAskDelay is how long an agent without a list waits for an entry of its own failure domain to ask before
+	// it asks another one.
+	farAskDelay = 600 * time.Millisecond
+)
+
+// askForAgents asks an entry for the list of agents, unless another one has just been asked, or entries nearer
+// to this agent can be expected to have it. p.mu must be held.
+func (p *Provisioner) askForAgents(now time.Time, of netip.AddrPort) {
+	if p.firstNotice.IsZero() {
+		p.firstNotice = now
+	}
+	isNear := p.entries[of].domain == p.c.Settings.FailureDomain
+	mayAsk := isNear || (p.digest == "" && now.Sub(p.firstNotice) >= farAskDelay)
+	if !mayAsk || now.Sub(p.askedAt) < askInterval {
+		return
+	}
+	p.askedAt, p.asked = now, of
+	p.reporter.signal()
+}
+
+// takeAsked returns the entry to ask for the list of agents, once; the zero address for none.
+func (p *Provisioner) takeAsked() (asked netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	asked, p.asked = p.asked, netip.AddrPort{}
+	return asked
+}
+
 // addReleases adds the releases to a report, unless the time of the newest is unknown here. p.mu must
 // be held.
 func (p *Provisioner) addReleases(report *wire.FleetReport) {
--- a/standin/simulator/bytes_test.go
+++ b/standin/simulator/bytes_test.go
@@ -29,30 +29,36 @@
 	if !*isMeasuring {
 		t.Skip("measurement; run it with -measure")
 	}
-	const span = 8 * time.Second
 	for _, half := range []int{15, 50, 150} {
 		run(t, simulator.Config{Entries: half, Engines: half, Slots: 8, Events: 14, Domains: 5}, 0, func(h *harness) {
-			started := h.sentBytes()
-			for _, rate := range []float64{0, 10} {
-				if rate > 0 {
-					h.load("answer", rate, span, 607)
-					h.load("chat", rate, span, 787)
-					h.load("summary", rate, span, 1290)
-				}
-				before, connections, datagrams := h.sentBytes(), h.RegionTraffic(), h.RegionDatagrams()
-				time.Sleep(span)
-				t.Logf("%d entries and agents, %.0f calls a second: %.1f KB/s on connections and %.1f KB/s of datagrams between regions", half, 3*rate,
-					float64(h.RegionTraffic()-connections)/1024/span.Seconds(), float64(h.RegionDatagrams()-datagrams)/1024/span.Seconds())
-				for kind, bytes := range h.sentBytes() {
-					if bytes > before[kind] {
-						t.Logf("  %s: %.1f KB/s", kind.Counter(), float64(bytes-before[kind])/1024/span.Seconds())
-					}
-				}
-				h.callers.Wait()
-			}
-			for kind, bytes := range started {
-				t.Logf("  in the first 3 s, %s: %.1f KB", kind.Counter(), float64(bytes)/1024)
-			}
+			h.logSent("first 3 s", 3*time.Second, make(map[notifier.Kind]int64))
+			h.logBytes(0)
+			h.logBytes(10)
 		})
 	}
 }
+
+// logBytes logs what goes between regions at a rate of calls a second of each route.
+func (h *harness) logBytes(rate float64) {
+	const span = 8 * time.Second
+	if rate > 0 {
+		h.load("answer", rate, span, 607)
+		h.load("chat", rate, span, 787)
+		h.load("summary", rate, span, 1290)
+	}
+	before, connections, datagrams := h.sentBytes(), h.RegionTraffic(), h.RegionDatagrams()
+	time.Sleep(span)
+	h.t.Logf("%d entries, %.0f calls a second: %.1f KB/s on connections and %.1f KB/s of datagrams between regions", len(h.Entries), 3*rate,
+		float64(h.RegionTraffic()-connections)/1024/span.Seconds(), float64(h.RegionDatagrams()-datagrams)/1024/span.Seconds())
+	h.logSent("", span, before)
+	h.callers.Wait()
+}
+
+// logSent logs the bytes sent since before, over a span, by kind.
+func (h *harness) logSent(when string, span time.Duration, before map[notifier.Kind]int64) {
+	for kind, bytes := range h.sentBytes() {
+		if bytes > before[kind] {
+			h.t.Logf("  %s %s: %.1f KB/s", when, kind.Counter(), float64(bytes-before[kind])/1024/span.Seconds())
+		}
+	}
+}
--- /dev/null
+++ b/standin/simulator/recovery_test.go
@@ -0,0 +1,117 @@
+package simulator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
+	"github.com/foxtailwharf/foxtailwharf/standin/simulator"
+)
+
+// recoveryTest is a way in which all processes of a large fleet end at once.
+type recoveryTest struct {
+	name string
+	// isPowerLost is set if the engines end, too, and lose their weights.
+	isPowerLost bool
+	// slow is the time after the start in which not all calls need be served.
+	slow time.Duration
+}
+
+// Limits after all processes have started again.
+const (
+	// minServedAfter is the least fraction of calls that are served from then on.
+	minServedAfter = 0.98
+	// maxListCopies is how often the list of agents may be sent, for each agent.
+	maxListCopies = 2
+	// bytesPerAgent is the size of the list for each agent that it names.
+	bytesPerAgent = 20
+)
+
+// TestAllKilled guards against a large fleet that does not serve soon after all its processes have ended at
+// once, and against lists that then fill the links. The rates are those of the users' large site.
+func TestAllKilled(t *testing.T) {
+	t.Parallel()
+	tests := []recoveryTest{
+		{name: "processes", slow: 900 * time.Millisecond},
+		{name: "power", isPowerLost: true, slow: 1250 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			run(t, largeFleet(), 0, tt.play)
+		})
+	}
+}
+
+// largeFleet is the size and the links of the users' large site.
+func largeFleet() simulator.Config {
+	return simulator.Config{
+		Entries: 150, Engines: 265, Slots: 8, Events: 8, Domains: 5, Plain: 2900,
+		Links: &simulator.Links{Entry: 5_000_000, Engine: 1_175_000, Region: 4_250_000, Store: 125_000_000, StoreReads: 16_000},
+	}
+}
+
+func (tt recoveryTest) play(h *harness) {
+	const length = 4 * time.Second
+	h.endAll(tt.isPowerLost)
+	time.Sleep(600 * time.Millisecond)
+	started := time.Now()
+	h.startAll(tt.isPowerLost)
+	h.load("answer", 300, length, 607)
+	time.Sleep(length)
+	agents := notifier.Kind{Name: "Agents", IsFar: true}
+	own := notifier.Kind{Name: "Agents"}
+	lists := h.Counter(agents.Counter()) + h.Counter(own.Counter())
+	h.callers.Wait()
+	sent, served := 0, 0
+	for _, r := range h.results["answer"] {
+		if r.sent.Sub(started) >= tt.slow {
+			sent++
+			if r.isWhole {
+				served++
+			}
+		}
+	}
+	size := int64(len(h.Engines) * bytesPerAgent)
+	copies := float64(lists) / float64(size) / float64(len(h.Engines))
+	h.t.Logf("%d of %d calls served after %s; %.1f copies of the list of agents for each agent", served, sent, tt.slow, copies)
+	if float64(served) < minServedAfter*float64(sent) {
+		h.t.Errorf("%d of %d calls served after %s, want at least %.2f", served, sent, tt.slow, minServedAfter)
+	}
+	if copies > maxListCopies {
+		h.t.Errorf("%.1f copies of the list of agents for each agent, want at most %d", copies, maxListCopies)
+	}
+}
+
+// endAll ends all processes at once, with isPowerLost also the engines.
+func (h *harness) endAll(isPowerLost bool) {
+	for _, e := range h.Entries {
+		e.Kill()
+	}
+	for _, e := range h.Engines {
+		if isPowerLost {
+			e.LosePower(500 * time.Millisecond)
+		} else {
+			e.KillAgent(h.t.Context())
+		}
+	}
+}
+
+// startAll starts all processes after endAll.
+func (h *harness) startAll(isPowerLost bool) {
+	for _, e := range h.Entries {
+		if err := e.Start(h.t.Context()); err != nil {
+			h.t.Fatal(err)
+		}
+	}
+	for _, e := range h.Engines {
+		start := e.StartAgent
+		if isPowerLost {
+			start = e.Restart
+		}
+		if err := start(h.t.Context()); err != nil {
+			h.t.Fatal(err)
+		}
+		e.PutUpstream()
+	}
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -510,6 +510,10 @@
 	// how many times as long as usual the upstream takes; 0 where it does not say
 	Slowness float64 `json:"Slowness,omitempty,omitzero"`
 
+	// the agent lacks the list of agents that the entry has named, and asks this
+	// entry for it
+	WantsAgents bool `json:"WantsAgents,omitempty,omitzero"`
+
 	// version of the weights held whole; 0 for none
 	Weights int64 `json:"Weights,omitempty,omitzero"`
 }
