--- a/internal/request/relayer/relayer_test.go
+++ b/internal/request/relayer/relayer_test.go
@@ -136,12 +136,14 @@
 	b.members.list = append(b.members.list, foxtailwharf.Instance{Name: fmt.Sprint("agent-", n), Incarnation: a.incarnation, Address: address, Service: "s", Version: "v", FailureDomain: "d"})
 }
 
+// close ends the relayer and the agents. What these have counted may be read after it.
 func (b *bench) close() {
 	b.relayer.Close()
 	for _, server := range b.servers {
 		server.Close()
 	}
 	time.Sleep(time.Minute)
+	synctest.Wait()
 }
 
 // relay sends one request to the agents. It reports whether the caller's connection was aborted.
--- a/internal/request/relayer/silence_test.go
+++ b/internal/request/relayer/silence_test.go
@@ -67,7 +67,6 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t)
-				defer b.close()
 				var agents []*silentAgent
 				for _, silence := range tt.silences {
 					a := &silentAgent{silence: silence, isBegun: tt.isBegun, agent: agent{isStream: tt.isStream}}
@@ -81,6 +80,7 @@
 				out := httptest.NewRecorder()
 				refusal, isAborted := b.relay(out, relayer.Request{})
 				took := time.Since(started)
+				b.close()
 				isWhole := refusal == nil && !isAborted && out.Body.String() == whole
 				if isWhole != tt.isWhole || took < tt.from || took > tt.to {
 					t.Errorf("whole %t after %s (%v, aborted %t, %q), want %t after %s to %s", isWhole, took, refusal, isAborted, out.Body.String(), tt.isWhole, tt.from, tt.to)
@@ -112,9 +112,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		a := &agent{isStream: true}
 		b := newBench(t, a)
-		defer b.close()
 		c := &slowCaller{ResponseRecorder: httptest.NewRecorder(), pause: 20 * time.Second}
 		refusal, isAborted := b.relay(c, relayer.Request{})
+		b.close()
 		if refusal != nil || isAborted || c.Body.String() != whole || a.calls != 1 {
 			t.Errorf("have %q after %d calls, %v, aborted %t, want the whole stream of one call", c.Body.String(), a.calls, refusal, isAborted)
 		}
