Entries that start together wait until they know each other before one reads the store

Callers of a large fleet whose processes have all ended at once got 503 until 0.9 s after the start. Cause: an entry stopped waiting for others at the first answer of a seed, which names those that have met the seed before it. Of entries that start together each one that ranks before all it has heard of then read the store: the harmonic number of the domain's entries, and more the longer the start takes, over one link to the store's region.

A seed now says whether it has a configuration (IsSettled); only then does a starting entry stop waiting before the 0.25 s are over. An entry that restarts beside others waits no longer than before.

--- a/internal/process/distributor/discovery.go
+++ b/internal/process/distributor/discovery.go
@@ -18,8 +18,9 @@
 // Timing of the discovery of other entries at the start.
 const (
 	// meetWait is how long a starting process waits to hear from other entries before it reads
-	// the store. After a power failure all entries start together, and if each read the store,
-	// the reads would fill the links to the store's region.
+	// the store, unless one of them has a configuration already. After a power failure all entries
+	// start together, the first answers name few of them, and if each read the store, the reads
+	// would fill the links to the store's region.
 	meetWait = 250 * time.Millisecond
 	// meetInterval is the time between two rounds of discovery, and meetRounds their number.
 	// Later rounds find entries that start a little later.
@@ -86,19 +87,22 @@
 		return
 	}
 	d.handleEntries(known.Entries)
-	d.mu.Lock()
-	d.meetDeadline = time.Time{}
-	d.mu.Unlock()
+	if known.IsSettled {
+		d.mu.Lock()
+		d.meetDeadline = time.Time{}
+		d.mu.Unlock()
+	}
 }
 
 // handleMeet records a starting entry and answers with the entries that this one knows.
 func (d *Distributor) handleMeet(_ context.Context, m wire.FleetMeeting) (wire.FleetMeeting, error) {
 	d.handleEntries(m.Entries)
 	byDomain := map[string][]string{d.c.Settings.FailureDomain: {d.c.Settings.PeerAddress(d.c.Settings.Address).String()}}
+	isSettled := d.follower.View().Configuration != nil
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for address, e := range d.entries {
 		byDomain[e.domain] = append(byDomain[e.domain], address.String())
 	}
-	return wire.FleetMeeting{Entries: listDomains(byDomain)}, nil
+	return wire.FleetMeeting{Entries: listDomains(byDomain), IsSettled: isSettled}, nil
 }
--- a/standin/simulator/recovery_test.go
+++ b/standin/simulator/recovery_test.go
@@ -115,3 +115,38 @@
 		e.PutUpstream()
 	}
 }
+
+// startSpread is the time within which all machines start, as on the users' platform.
+const startSpread = 300 * time.Millisecond
+
+// TestManyStartAtOnce guards against a rush on the store, and on the link to its region, when all entries of large
+// failure domains start at once and do not know of each other yet.
+func TestManyStartAtOnce(t *testing.T) {
+	t.Parallel()
+	for _, spread := range []time.Duration{0, startSpread} {
+		t.Run(spread.String(), func(t *testing.T) {
+			run(t, simulator.Config{Entries: 60, Engines: 4, Slots: 8, Events: 8, Domains: 2}, 0, func(h *harness) {
+				for _, e := range h.Entries {
+					e.Kill()
+				}
+				time.Sleep(time.Second)
+				before := h.storeCalls()
+				for _, e := range h.Entries {
+					if err := e.Start(h.t.Context()); err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(spread / time.Duration(len(h.Entries)))
+				}
+				time.Sleep(time.Second - spread)
+				h.checkVersion(1)
+				// A reader reads three subjects and starts three watches. Two entries of a failure domain read if they
+				// start long before the others.
+				calls, want := h.storeCalls()-before, 2*2*6
+				t.Logf("%d calls to the store", calls)
+				if calls > want {
+					t.Errorf("%d calls to the store, want at most %d", calls, want)
+				}
+			})
+		})
+	}
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -325,6 +325,10 @@
 type FleetMeeting struct {
 	// by failure domain
 	Entries []FleetDomain `json:"Entries"`
+
+	// the answering entry has a configuration, so that it is not the whole system
+	// that has just started
+	IsSettled bool `json:"IsSettled,omitempty,omitzero"`
 }
 
 // FleetNotice is what an entry tells an agent of a fleet listed by the platform,
