Seeds name to a starting entry only the entries that it has not had from them

Each starting entry asks each seed eight times within 1.2 s, and each answer named all entries: at 400 entries 86 MB (worked out) from three seeds, on links of 5 MB a second each. No caller has been seen to suffer from it; at that size the seeds would be late with everything else.

An answer says up to where in its process's order it is complete (Process, Sequence), the next question says it back, and the answer names those that came after. A seed that has restarted, or is of an older build, names all.

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -321,6 +321,7 @@
 type otherEntry struct {
 	domain   string // failure domain
 	lastSeen time.Time
+	sequence uint64 // place in the order in which this entry first heard of the others
 }
 
 // handleEntries records the listed entries and adjusts what depends on their number.
@@ -343,7 +344,7 @@
 	for _, domain := range list {
 		for _, text := range domain.Members {
 			if address, err := netip.ParseAddrPort(text); err == nil && address != self {
-				d.entries[address] = otherEntry{domain: domain.Name, lastSeen: now}
+				d.recordEntry(now, address, domain.Name)
 			}
 		}
 	}
@@ -359,6 +360,17 @@
 	return len(d.entries) + 1
 }
 
+// recordEntry records that another entry is listed. The caller must hold d.mu.
+func (d *Distributor) recordEntry(now time.Time, address netip.AddrPort, domain string) {
+	e, isKnown := d.entries[address]
+	if !isKnown {
+		d.entrySequence++
+		e.sequence = d.entrySequence
+	}
+	e.domain, e.lastSeen = domain, now
+	d.entries[address] = e
+}
+
 // otherEntries returns the addresses of the known entries without this one.
 func (d *Distributor) otherEntries() (list []netip.AddrPort) {
 	d.mu.Lock()
--- a/internal/process/distributor/discovery.go
+++ b/internal/process/distributor/discovery.go
@@ -36,17 +36,25 @@
 	done chan struct{}
 }
 
+// meeting is how far a seed has told the entries that it knows.
+type meeting struct {
+	process, sequence uint64
+}
+
 func (m *discovery) run(ctx context.Context) {
 	defer close(m.done)
+	meetings := make(map[netip.AddrPort]meeting)
 	for range meetRounds {
 		var requests []*meetRequest
-		for _, seed := range m.d.c.Settings.Seeds {
-			g := &meetRequest{d: m.d, seed: m.d.c.Settings.PeerAddress(seed.Addr()), done: make(chan struct{})}
+		for _, address := range m.d.c.Settings.Seeds {
+			seed := m.d.c.Settings.PeerAddress(address.Addr())
+			g := &meetRequest{d: m.d, seed: seed, meeting: meetings[seed], done: make(chan struct{})}
 			requests = append(requests, g)
 			go g.run(ctx)
 		}
 		for _, g := range requests {
 			<-g.done
+			meetings[g.seed] = g.meeting
 		}
 		if !sleeper.Sleep(ctx, meetInterval) {
 			return
@@ -56,35 +64,37 @@
 
 // meetRequest is one request to one seed.
 type meetRequest struct {
-	d    *Distributor
-	seed netip.AddrPort
-	done chan struct{}
+	d       *Distributor
+	seed    netip.AddrPort
+	meeting meeting // with the seed, before the request and after it
+	done    chan struct{}
 }
 
 func (g *meetRequest) run(ctx context.Context) {
 	defer close(g.done)
-	g.d.meet(ctx, g.seed)
+	g.meeting = g.d.meet(ctx, g.seed, g.meeting)
 }
 
 func (m *discovery) ended() <-chan struct{} {
 	return m.done
 }
 
-// meet announces this entry to a seed and records the entries that the seed knows. A seed that
-// does not answer is ignored, since it may no longer exist.
-func (d *Distributor) meet(ctx context.Context, seed netip.AddrPort) {
+// meet announces this entry to a seed and records the entries that the seed has heard of since the last meeting. It
+// returns how far the seed has told them. A seed that does not answer is ignored, since it may no longer exist.
+func (d *Distributor) meet(ctx context.Context, seed netip.AddrPort, last meeting) meeting {
 	self := d.c.Settings.PeerAddress(d.c.Settings.Address)
 	if seed == self {
-		return
+		return last
 	}
 	ctx, cancel := context.WithTimeout(ctx, meetTimeout)
 	defer cancel()
 	known, err := messenger.Call[wire.FleetMeeting](ctx, d.client, seed, methodMeet, wire.FleetMeeting{
 		Entries: []wire.FleetDomain{{Name: d.c.Settings.FailureDomain, Members: []string{self.String()}}},
+		Process: last.process, Sequence: last.sequence,
 	})
 	if err != nil {
 		d.c.Log.Debug("entry: seed does not answer", zap.Stringer("Seed", seed), zap.Error(err))
-		return
+		return last
 	}
 	d.handleEntries(known.Entries)
 	if known.IsSettled {
@@ -92,17 +102,25 @@
 		d.meetDeadline = time.Time{}
 		d.mu.Unlock()
 	}
+	return meeting{process: known.Process, sequence: known.Sequence}
 }
 
-// handleMeet records a starting entry and answers with the entries that this one knows.
+// handleMeet records a starting entry and answers with the entries that this one has heard of since its last answer.
 func (d *Distributor) handleMeet(_ context.Context, m wire.FleetMeeting) (wire.FleetMeeting, error) {
 	d.handleEntries(m.Entries)
-	byDomain := map[string][]string{d.c.Settings.FailureDomain: {d.c.Settings.PeerAddress(d.c.Settings.Address).String()}}
 	isSettled := d.follower.View().Configuration != nil
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	byDomain := make(map[string][]string)
+	after := m.Sequence
+	if m.Process != d.c.Seed {
+		after = 0
+		byDomain[d.c.Settings.FailureDomain] = []string{d.c.Settings.PeerAddress(d.c.Settings.Address).String()}
+	}
 	for address, e := range d.entries {
-		byDomain[e.domain] = append(byDomain[e.domain], address.String())
+		if e.sequence > after {
+			byDomain[e.domain] = append(byDomain[e.domain], address.String())
+		}
 	}
-	return wire.FleetMeeting{Entries: listDomains(byDomain), IsSettled: isSettled}, nil
+	return wire.FleetMeeting{Entries: listDomains(byDomain), IsSettled: isSettled, Process: d.c.Seed, Sequence: d.entrySequence}, nil
 }
--- a/standin/simulator/recovery_test.go
+++ b/standin/simulator/recovery_test.go
@@ -150,3 +150,30 @@
 		})
 	}
 }
+
+// TestMeetingsAreShort guards against seeds whose answers to all starting entries fill their links: each answer names
+// what the asking entry has not had from that seed.
+func TestMeetingsAreShort(t *testing.T) {
+	t.Parallel()
+	const entries, bytesPerEntry, bytesPerCall = 150, 25, 700
+	run(t, simulator.Config{Entries: entries, Engines: 5, Slots: 8, Events: 8, Domains: 5}, 0, func(h *harness) {
+		for _, e := range h.Entries {
+			e.Kill()
+		}
+		time.Sleep(time.Second)
+		before := h.RegionTraffic()
+		for _, e := range h.Entries {
+			if err := e.Start(h.t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(startSpread / entries)
+		}
+		time.Sleep(2 * time.Second)
+		// Each entry gets each address once, and makes eight small calls.
+		sent, want := h.RegionTraffic()-before, int64(entries*(entries*bytesPerEntry+8*bytesPerCall))
+		t.Logf("%d KB between regions", sent>>10)
+		if sent > want {
+			t.Errorf("%d KB between regions, want at most %d", sent>>10, want>>10)
+		}
+	})
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -321,7 +321,7 @@
 }
 
 // FleetMeeting makes an entry known to another one, which answers with the entries
-// that it knows.
+// that it has heard of since its last answer.
 type FleetMeeting struct {
 	// by failure domain
 	Entries []FleetDomain `json:"Entries"`
@@ -329,6 +329,14 @@
 	// the answering entry has a configuration, so that it is not the whole system
 	// that has just started
 	IsSettled bool `json:"IsSettled,omitempty,omitzero"`
+
+	// the answering process; in the question, the process whose answer the asking
+	// entry has had up to Sequence, 0 for none
+	Process uint64 `json:"Process,omitempty,omitzero"`
+
+	// place in the order in which that process has heard of entries, up to which
+	// Entries is complete
+	Sequence uint64 `json:"Sequence,omitempty,omitzero"`
 }
 
 // FleetNotice is what an entry tells an agent of a fleet listed by the platform,
