The whole list of upstreams is compressed once for all entries that lack it

The entry that reads the store for its failure domain compressed the whole list anew for each entry that asked for it.

The list is kept compressed until it changes, as the configuration is.

--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -103,8 +103,8 @@
 	delegator      *delegator.Delegator
 	meetDeadline   time.Time // until then the first store read waits for other entries
 
-	packedMu sync.Mutex
-	packed   packedDocument // the configuration as last sent to another entry
+	// The configuration and the whole list of upstreams as last sent to another entry.
+	packedConfiguration, packedList packedDocument
 }
 
 // task is a background loop of the entry. It ends with its context.
--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -240,7 +240,7 @@
 // addDocuments adds the configuration and the list changes that the querying entry lacks.
 func (d *Distributor) addDocuments(answer *wire.FleetAnswer, q wire.FleetQuestion, v follower.View) (err error) {
 	if v.Configuration.Version > q.Version {
-		if answer.Configuration, err = d.packConfiguration(v.Configuration); err != nil {
+		if answer.Configuration, err = d.packedConfiguration.pack(uint64(v.Configuration.Version), v.Configuration); err != nil {
 			return err
 		}
 	}
@@ -255,7 +255,9 @@
 	answer.HasList, answer.IsWhole, answer.Gone, answer.Sequence = true, isWhole, changes.Gone, v.Sequence
 	expiring, left := d.follower.Expiring()
 	answer.Expiring, answer.ExpiringMillis = expiring, ceilMillis(left)
-	if len(changes.Upstreams) > 0 {
+	if isWhole {
+		answer.Upstreams, err = d.packedList.pack(v.Sequence, v.Upstreams)
+	} else if len(changes.Upstreams) > 0 {
 		answer.Upstreams, err = pack(changes.Upstreams)
 	}
 	return err
--- a/internal/process/distributor/packer.go
+++ b/internal/process/distributor/packer.go
@@ -10,8 +10,6 @@
 	"sync"
 
 	"github.com/pkg/errors"
-
-	"github.com/foxtailwharf/foxtailwharf"
 )
 
 // maxPackedBytes limits the unpacked size of one document.
@@ -29,25 +27,26 @@
 	return flate.NewWriter(w, flate.BestSpeed)
 }
 
-// packedDocument is a configuration as compressed JSON.
+// packedDocument keeps a document as compressed JSON, so that it is compressed once for all entries that lack it. It
+// is safe for concurrent use.
 type packedDocument struct {
-	version int64
+	mu      sync.Mutex
+	version uint64 // of the document; the text is empty before the first
 	text    string
 }
 
-// packConfiguration returns a configuration as compressed JSON. It keeps the last result, so that
-// a configuration is compressed once for all entries that lack it.
-func (d *Distributor) packConfiguration(c *foxtailwharf.Configuration) (string, error) {
-	d.packedMu.Lock()
-	defer d.packedMu.Unlock()
-	if d.packed.version == c.Version {
-		return d.packed.text, nil
+// pack returns the document as compressed JSON. Documents of the same version must be the same.
+func (p *packedDocument) pack(version uint64, document any) (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.text != "" && p.version == version {
+		return p.text, nil
 	}
-	text, err := pack(c)
+	text, err := pack(document)
 	if err != nil {
 		return "", err
 	}
-	d.packed = packedDocument{version: c.Version, text: text}
+	p.version, p.text = version, text
 	return text, nil
 }
 
--- a/standin/simulator/recovery_test.go
+++ b/standin/simulator/recovery_test.go
@@ -32,8 +32,8 @@
 func TestAllKilled(t *testing.T) {
 	t.Parallel()
 	tests := []recoveryTest{
-		{name: "processes", slow: 900 * time.Millisecond},
-		{name: "power", isPowerLost: true, slow: 1250 * time.Millisecond},
+		{name: "processes", slow: 600 * time.Millisecond},
+		{name: "power", isPowerLost: true, slow: time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
