--- a/internal/request/relayer/silence_test.go
+++ b/internal/request/relayer/silence_test.go
@@ -76,25 +76,36 @@
 				if tt.isLost {
 					time.AfterFunc(time.Second, func() { b.members.lose() })
 				}
-				started := time.Now()
-				out := httptest.NewRecorder()
-				refusal, isAborted := b.relay(out, relayer.Request{})
-				took := time.Since(started)
-				b.close()
-				isWhole := refusal == nil && !isAborted && out.Body.String() == whole
+				isWhole, took := b.relayWhole()
 				if isWhole != tt.isWhole || took < tt.from || took > tt.to {
-					t.Errorf("whole %t after %s (%v, aborted %t, %q), want %t after %s to %s", isWhole, took, refusal, isAborted, out.Body.String(), tt.isWhole, tt.from, tt.to)
-				}
-				for n, a := range agents {
-					if a.calls != 1 {
-						t.Errorf("agent %d was called %d times, want once", n, a.calls)
-					}
+					t.Errorf("whole %t after %s, want %t after %s to %s", isWhole, took, tt.isWhole, tt.from, tt.to)
 				}
+				checkCalledOnce(t, agents)
 			})
 		})
 	}
 }
 
+func checkCalledOnce(t *testing.T, agents []*silentAgent) {
+	t.Helper()
+	for n, a := range agents {
+		if a.calls != 1 {
+			t.Errorf("agent %d was called %d times, want once", n, a.calls)
+		}
+	}
+}
+
+// relayWhole sends a request. It reports whether the caller got the whole answer, and after what time. It closes the bench.
+func (b *bench) relayWhole() (isWhole bool, took time.Duration) {
+	started := time.Now()
+	out := httptest.NewRecorder()
+	refusal, isAborted := b.relay(out, relayer.Request{})
+	took = time.Since(started)
+	b.close()
+	b.t.Logf("refusal %v, aborted %t, %q", refusal, isAborted, out.Body.String())
+	return refusal == nil && !isAborted && out.Body.String() == whole, took
+}
+
 // slowCaller takes a while to read its first event.
 type slowCaller struct {
 	*httptest.ResponseRecorder
