A request after a chunked body is counted from its first byte

What callers saw: a caller that sends its next request before it has the answer to one with a chunked body gets 431 for a sound request, and the connection ends; or, where less of its head was read, the idle limit applies in place of the one for heads.

Cause: a read of a body without a length went beyond its end. The head of the next request was then counted from somewhere inside, and where the rest of it was an empty line alone, its body was counted as a head.

Evidence: TestRequestAfterChunkedBody, bodies of 3,800 to 4,099 bytes with a request after them, before: "status 431 with body the request header is too large, want 200" at 3,977 bytes.

The limiter follows the chunks and hands out no byte beyond their end, as it does for bodies with a length.

--- a/internal/connection/callerlimiter/conn.go
+++ b/internal/connection/callerlimiter/conn.go
@@ -21,7 +21,7 @@
 const finalWait = 10 * time.Millisecond
 
 // conn is a caller's connection. net/http reads from it one goroutine at a time. A read returns no
-// bytes beyond the end of a head, so that the next head is counted from its first byte.
+// bytes beyond the end of a head or of a body, so that the next head is counted from its first byte.
 type conn struct {
 	net.Conn
 	limiter *Limiter
@@ -31,7 +31,8 @@
 	since     time.Time // start of the phase
 	final     time.Time // end of the last read of the phase, once its time is over
 	head      headScanner
-	bodyBytes int64     // left to read of the request that is served; below 0 if unknown
+	bodyBytes int64 // left to read of the request that is served; below 0 if its body is chunked
+	chunks    chunkScanner
 	pending   []byte    // received and not returned yet
 	requested time.Time // read deadline that net/http has set
 	applied   time.Time // read deadline of the inner connection
@@ -102,12 +103,20 @@
 func (c *conn) account(p []byte) (n int, isTooLong bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == PhaseServing && c.bodyBytes != 0 {
-		c.bodyBytes = max(c.bodyBytes-int64(len(p)), min(c.bodyBytes, 0))
+	if c.phase == PhaseServing && c.bodyBytes > 0 {
+		c.bodyBytes = max(c.bodyBytes-int64(len(p)), 0)
 		return len(p), false
 	}
+	if c.phase == PhaseServing && c.bodyBytes < 0 {
+		n, isEnd := c.chunks.scan(p)
+		c.putBack(p[n:])
+		if isEnd {
+			c.bodyBytes = 0
+		}
+		return n, false
+	}
 	n, isEnd := c.head.scan(p)
-	c.pending = append(append([]byte(nil), p[n:]...), c.pending...)
+	c.putBack(p[n:])
 	if c.phase == PhaseIdle && c.head.bytes > 0 {
 		c.enter(PhaseHead)
 	}
@@ -121,13 +130,18 @@
 	return n, false
 }
 
+// putBack keeps bytes that the reader does not get yet. The lock must be held.
+func (c *conn) putBack(p []byte) {
+	c.pending = append(append([]byte(nil), p...), c.pending...)
+}
+
 // enter starts a phase. The lock must be held.
 func (c *conn) enter(p Phase) {
 	c.phase, c.since, c.final = p, time.Now(), time.Time{}
 	c.apply()
 }
 
-// begin notes that a request with a body of a length is served; below 0 if the length is unknown.
+// begin notes that a request with a body of a length is served; below 0 if the body is chunked.
 func (c *conn) begin(bodyBytes int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,7 +149,7 @@
 		c.head = headScanner{}
 		c.enter(PhaseServing)
 	}
-	c.bodyBytes = bodyBytes
+	c.bodyBytes, c.chunks = bodyBytes, chunkScanner{}
 }
 
 // answered notes that an answer is written. The next request may have begun to arrive.
