Entries tell crashes to those that decide, which tell their domain

The change: crashes go to the entries that decide, two of each failure domain, three times as before. These send the entries of their domain all that they know of a crash when there is news, one message for what many entries have seen, so that they can prove parts sound. Evidence that a request has crashed one upstream goes to the deciding entries alone; from two crashes on, and for bans, all are told at once as before. A ban that follows from crashes seen by different entries is told to all. A counter Warnings says how many an entry has sent.

Seen on the way: a non-deciding entry learns of others' crashes up to 0.1 s later than before.

--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -11,6 +11,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
@@ -39,10 +40,8 @@
 type banSender struct {
 	d    *Distributor
 	done chan struct{}
-	// deciding holds the other entries that decide, and role what this one does, as of updatedAt. All bans
-	// are sent at the same time.
-	deciding  []netip.AddrPort
-	role      isolator.Role
+	// roles are as of updatedAt. All bans are sent at the same time.
+	roles     entryRoles
 	updatedAt time.Time
 }
 
@@ -51,7 +50,7 @@
 	for sleeper.Sleep(ctx, warnInterval) {
 		if time.Since(s.updatedAt) >= resendInterval {
 			s.updatedAt = time.Now()
-			s.deciding, s.role = s.d.decidingEntries()
+			s.roles = s.d.rolesOfEntries()
 			s.resendBans(ctx)
 		}
 		s.d.shareBans(ctx)
@@ -82,6 +81,7 @@
 func (d *Distributor) warn(ctx context.Context, warnings map[netip.AddrPort]wire.FleetWarning) {
 	ctx, cancel := context.WithTimeout(ctx, warnTimeout)
 	defer cancel()
+	d.meter.Add(meter.CounterWarnings, int64(len(warnings)))
 	var requests []*warningRequest
 	for to, warning := range warnings {
 		r := &warningRequest{d: d, to: to, warning: warning, done: make(chan struct{})}
@@ -93,46 +93,62 @@
 	}
 }
 
+// Warnings returns how many warnings this entry has sent to others.
+func (d *Distributor) Warnings() int64 {
+	return d.meter.Counter(meter.CounterWarnings)
+}
+
 // shareBans sends new bans to all other entries and waits until they have them, so that the same request
-// does not crash further upstreams through another entry meanwhile.
+// does not crash further upstreams through another entry meanwhile. A single crash is no reason to hurry, and only
+// the entries that decide are told of it.
 func (d *Distributor) shareBans(ctx context.Context) {
 	bans := quarantiner.ToWire(d.forwarder.TakeUnsentBans(maxWarnBans))
 	if len(bans) == 0 {
 		return
 	}
+	r := d.rolesOfEntries()
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
-	for _, to := range d.otherEntries() {
+	isUrgent := func(ban wire.Quarantine) bool { return len(ban.Upstreams) > 1 || ban.RemainingMillis > 0 }
+	if slices.ContainsFunc(bans, isUrgent) {
+		for _, to := range d.otherEntries() {
+			warnings[to] = wire.FleetWarning{Bans: slices.DeleteFunc(slices.Clone(bans), func(ban wire.Quarantine) bool { return !isUrgent(ban) })}
+		}
+	}
+	for _, to := range r.deciding {
 		warnings[to] = wire.FleetWarning{Bans: bans}
 	}
 	d.warn(ctx, warnings)
 }
 
 // shareEvidence sends the other entries what this one has found out about parts of prompts that crash
-// engines. Proofs and bans that calls have met are many and go only to the entries that decide, unless proofs
-// change a ban.
+// engines. Most concerns the entries that decide. They tell those of their failure domain all that they have heard of
+// crashes, so that these can prove parts sound; that is one message for what many entries have seen.
 func (s *banSender) shareEvidence(ctx context.Context) {
-	evidence := s.d.forwarder.Isolate(s.role)
+	evidence := s.d.forwarder.Isolate(s.roles.own)
 	warning := isolator.ToWire(evidence)
 	met := quarantiner.ToWire(s.d.forwarder.TakeUnsentMet())
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
-	if len(warning.Proofs)+len(evidence.Met)+len(met) > 0 {
-		receivers := s.deciding
+	if len(warning.PartBans) > 0 || evidence.IsLifting {
+		rest := wire.FleetWarning{PartBans: warning.PartBans}
 		if evidence.IsLifting {
-			receivers = s.d.otherEntries()
+			rest.Proofs = warning.Proofs
 		}
-		withMet := warning
-		withMet.Bans = met
-		withMet.PartBans = append(withMet.PartBans, isolator.BansToWire(evidence.Met)...)
-		for _, to := range receivers {
-			warnings[to] = withMet
+		for _, to := range s.d.otherEntries() {
+			warnings[to] = rest
 		}
 	}
-	if len(warning.Crashes)+len(warning.PartBans) > 0 {
-		rest := wire.FleetWarning{Crashes: warning.Crashes, PartBans: warning.PartBans}
-		for _, to := range s.d.otherEntries() {
-			if _, isDeciding := warnings[to]; !isDeciding {
-				warnings[to] = rest
-			}
+	if len(evidence.Relayed) > 0 {
+		for _, to := range s.roles.following {
+			w := warnings[to]
+			w.Crashes = isolator.ToWire(isolator.Evidence{Crashes: evidence.Relayed}).Crashes
+			warnings[to] = w
+		}
+	}
+	warning.Bans = met
+	warning.PartBans = append(warning.PartBans, isolator.BansToWire(evidence.Met)...)
+	if len(warning.Crashes)+len(warning.Proofs)+len(warning.PartBans)+len(warning.Bans) > 0 {
+		for _, to := range s.roles.deciding {
+			warnings[to] = warning
 		}
 	}
 	if len(warnings) > 0 {
@@ -142,7 +158,7 @@
 
 // resendBans sends all bans that are in force to all other entries, if this entry is one that decides.
 func (s *banSender) resendBans(ctx context.Context) {
-	if s.role == isolator.RoleNone {
+	if s.roles.own == isolator.RoleNone {
 		return
 	}
 	f := s.d.forwarder
@@ -162,9 +178,15 @@
 // still.
 const decidersPerDomain = 2
 
-// decidingEntries returns the other entries that decide, and the role of this one. All entries with the same
-// list agree.
-func (d *Distributor) decidingEntries() (others []netip.AddrPort, role isolator.Role) {
+// entryRoles says who decides on bans.
+type entryRoles struct {
+	own       isolator.Role
+	deciding  []netip.AddrPort // other entries that decide
+	following []netip.AddrPort // entries of this failure domain that do not decide
+}
+
+// rolesOfEntries returns who decides on bans. All entries with the same list agree.
+func (d *Distributor) rolesOfEntries() (r entryRoles) {
 	self := d.c.Settings.PeerAddress(d.c.Settings.Address)
 	byDomain := map[string][]netip.AddrPort{d.c.Settings.FailureDomain: {self}}
 	d.mu.Lock()
@@ -172,18 +194,24 @@
 		byDomain[e.domain] = append(byDomain[e.domain], address)
 	}
 	d.mu.Unlock()
+	isSelf := func(address netip.AddrPort) bool { return address == self }
 	byRank := func(a, b netip.AddrPort) int { return cmp.Compare(decidingRank(b), decidingRank(a)) }
-	for _, entries := range byDomain {
+	for domain, entries := range byDomain {
 		slices.SortFunc(entries, byRank)
-		others = append(others, entries[:min(decidersPerDomain, len(entries))]...)
+		count := min(decidersPerDomain, len(entries))
+		r.deciding = append(r.deciding, entries[:count]...)
+		if domain == d.c.Settings.FailureDomain {
+			r.following = slices.DeleteFunc(slices.Clone(entries[count:]), isSelf)
+		}
 	}
 	switch {
-	case slices.MinFunc(others, byRank) == self:
-		role = isolator.RoleTries
-	case slices.Contains(others, self):
-		role = isolator.RoleDecides
+	case isSelf(slices.MinFunc(r.deciding, byRank)):
+		r.own = isolator.RoleTries
+	case slices.ContainsFunc(r.deciding, isSelf):
+		r.own = isolator.RoleDecides
 	}
-	return slices.DeleteFunc(others, func(address netip.AddrPort) bool { return address == self }), role
+	r.deciding = slices.DeleteFunc(r.deciding, isSelf)
+	return r
 }
 
 // decidingRank orders the entries of a failure domain identically in all processes.
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -36,6 +36,7 @@
 	CounterBrokenAnswers             = "BrokenAnswers"
 	CounterAnswered                  = "Answered"
 	CounterCallersClosed             = "CallersClosed."
+	CounterWarnings                  = "Warnings"
 )
 
 // separator separates the parts of a metric's name in the registry.
--- a/internal/request/isolator/evidence.go
+++ b/internal/request/isolator/evidence.go
@@ -29,10 +29,11 @@
 	Remaining time.Duration
 }
 
-// Evidence is what entries tell each other. Crashes and bans concern all entries, proofs only those
-// that decide, unless they change a ban.
+// Evidence is what entries tell each other. Bans concern all entries; crashes and proofs those that decide, unless
+// a proof changes a ban.
 type Evidence struct {
 	Crashes   []Crash
+	Relayed   []Crash // all that is known of crashes; from an entry that decides, for those that do not
 	Proofs    []Proof
 	Bans      []Ban
 	Met       []Ban // bans that calls have met; the entries that decide tell the others
@@ -66,6 +67,9 @@
 			delete(i.unsent.crashes, upstream)
 		}
 	}
+	if i.role != RoleNone {
+		e.Relayed = i.relayed(now)
+	}
 	for _, part := range sortedKeys(i.unsent.proofs) {
 		if at := i.begun.last(part); !at.IsZero() {
 			e.Proofs = append(e.Proofs, Proof{Part: part, Age: now.Sub(at)})
@@ -76,10 +80,21 @@
 	clear(i.unsent.proofs)
 	clear(i.unsent.bans)
 	clear(i.unsent.met)
+	clear(i.unsent.relayed)
 	i.unsent.isLifting = false
 	return e
 }
 
+// relayed returns the crashes of which there is news.
+func (i *Isolator) relayed(now time.Time) (crashes []Crash) {
+	for _, upstream := range sortedKeys(i.unsent.relayed) {
+		if c := i.crashes[upstream]; c != nil {
+			crashes = append(crashes, Crash{Upstream: upstream, Age: now.Sub(c.at), Parts: sortedKeys(c.suspects)})
+		}
+	}
+	return crashes
+}
+
 // reports returns bans by their keys, as they are sent to other entries.
 func (i *Isolator) reports(now time.Time, keys map[string]bool) (bans []Ban) {
 	for _, key := range sortedKeys(keys) {
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -90,6 +90,9 @@
 	proofs  map[string]bool // by part
 	bans    map[string]bool // by key
 	met     map[string]bool // bans that calls have met, by key
+	// relayed holds the crashes of which the entries that do not decide have not been told all suspects, by
+	// incarnation.
+	relayed map[string]bool
 	// isLifting is set if a proof changes a ban, which all entries have to hear.
 	isLifting bool
 }
@@ -102,7 +105,7 @@
 		crashes:  make(map[string]*crash),
 		suspects: make(map[string]map[string]bool),
 		bans:     make(map[string]*ban),
-		unsent:   unsent{crashes: make(map[string]int), proofs: make(map[string]bool), bans: make(map[string]bool), met: make(map[string]bool)},
+		unsent:   unsent{crashes: make(map[string]int), proofs: make(map[string]bool), bans: make(map[string]bool), met: make(map[string]bool), relayed: make(map[string]bool)},
 	}
 }
 
@@ -125,6 +128,7 @@
 			c.own[part] = true
 		}
 	}
+	i.unsent.relayed[upstream] = true
 	i.unsent.crashes[upstream] = crashSends
 }
 
@@ -141,6 +145,7 @@
 		if len(i.crashes) >= maxCrashes {
 			i.dropOldest()
 		}
+		i.unsent.relayed[upstream] = true
 		c = &crash{at: at, heardAt: now, own: make(map[string]bool), suspects: make(map[string]bool)}
 		i.crashes[upstream] = c
 	}
@@ -170,6 +175,9 @@
 		i.unsent.proofs[part] = true
 		return false
 	}
+	if !c.suspects[part] {
+		i.unsent.relayed[upstream] = true
+	}
 	c.suspects[part] = true
 	if i.suspects[part] == nil {
 		i.suspects[part] = make(map[string]bool)
@@ -274,6 +282,7 @@
 	}
 	delete(i.crashes, upstream)
 	delete(i.unsent.crashes, upstream)
+	delete(i.unsent.relayed, upstream)
 }
 
 // candidate is a part that the evidence may isolate.
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -304,7 +304,8 @@
 	}
 	crashedAt := now.Add(-ban.Age)
 	if len(ban.Upstreams) < q.c.CrashesToBan && len(q.CrashedUpstreams(ban.Digest)) >= q.c.CrashesToBan && q.bans[ban.Digest] == nil {
-		// The entries saw different crashes, each too few for a ban.
+		// The entries saw different crashes, each too few for a ban. The others may not know of all.
+		q.unsent[ban.Digest] = true
 		q.mergeBan(ban.Digest, now.Add(q.c.Time), crashedAt)
 	}
 	if ban.Remaining > 0 && len(q.bans) < q.c.MaxSuspects {
--- a/standin/simulator/entry.go
+++ b/standin/simulator/entry.go
@@ -81,6 +81,11 @@
 	return e.process.View().Version()
 }
 
+// Warnings returns how many warnings the entry has sent to others since it started.
+func (e *Entry) Warnings() int64 {
+	return e.process.Warnings()
+}
+
 // Callers returns the address that callers connect to.
 func (e *Entry) Callers() netip.AddrPort {
 	return e.settings().Callers
