Gossiper: a crash is told to entries of all failure domains before the retry

What callers saw: copies of a crashing request that came through entries of different failure domains crashed two engines in each of them; each domain had to learn of two crashes by itself.

Cause: the evidence was sent at once to the own failure domain only; the others got it at the next exchange, after the retries.

Evidence: TestCopiesOfCrashingRequest failed in six of nine cases: "the copies crashed engines 4 times, want 2 times at the most" (2 copies through 2 domains), 6 times, want 3 (3 through 3), 6, want 5 (10 through 3).

Change: the evidence goes also to 16 entries of other failure domains, drawn at random. Cost: up to 32 exchanges for a crash instead of 16, and a retry waits up to 0.3 s while another domain is cut off and not yet known to be gone. The stand-in's engine counted a crash for each copy that ran on it; it dies once now.

Measured: the bound that can be kept is that of the engines that run a copy when the first crash becomes known, and two where that is one: 10 copies at one instant crash 5 engines through one entry, 3 through two of one domain, 3 through six of three domains. All tests of internal/process and of standin/fleet passed but for this one's case of 100 ms, with 5 ms instead of 10 ms for the news to spread (a copy that was sent before the news arrived); with 10 ms the nine cases pass.

--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -181,15 +181,24 @@
 	g.exchangeAll(ctx, addresses(tracker.Observers(entries, g.Self(), announceFanOut)))
 }
 
-// ShareBans sends this process's bans at once to the entries of its failure domain, at most
-// announceFanOut of them. It returns when they have answered or ctx ends.
+// ShareBans sends this process's bans at once to the entries of its failure domain and to those of the
+// others, at most announceFanOut of each. It returns when they have answered or ctx ends.
 func (g *Gossiper) ShareBans(ctx context.Context) {
-	entries := g.Live(foxtailwharf.RoleEntry)
 	self := g.Self()
-	near := slices.DeleteFunc(slices.Clone(entries), func(i foxtailwharf.Instance) bool {
-		return i.FailureDomain != self.FailureDomain || i.Incarnation == self.Incarnation
-	})
-	g.exchangeAll(ctx, addresses(near[:min(len(near), announceFanOut)]))
+	var near, far []netip.AddrPort
+	for _, i := range g.Live(foxtailwharf.RoleEntry) {
+		switch {
+		case i.Incarnation == self.Incarnation:
+		case i.FailureDomain == self.FailureDomain:
+			near = append(near, i.Address)
+		default:
+			far = append(far, i.Address)
+		}
+	}
+	g.mu.Lock()
+	g.c.Random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	g.mu.Unlock()
+	g.exchangeAll(ctx, slices.Concat(near[:min(len(near), announceFanOut)], far[:min(len(far), announceFanOut)]))
 }
 
 // Live returns the instances of a role that are not gone. The slice is shared and must not be
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -130,6 +130,15 @@
 	e.crash()
 }
 
+// crashOnce is Crash, unless the engine has crashed since killed was its channel.
+func (e *Engine) crashOnce(killed chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.killed == killed {
+		e.crash()
+	}
+}
+
 func (e *Engine) crash() {
 	e.crashes++
 	e.version = ""
@@ -232,7 +241,7 @@
 	defer e.finishRun()
 	if strings.Contains(string(body), MarkCrash) {
 		pause(r, killed, first/2)
-		e.Crash()
+		e.crashOnce(killed)
 		panic(http.ErrAbortHandler)
 	}
 	if run.Version == "" {
