Agents of other domains report to an entry continuously only while it needs them

The counters by kind show that nearly all of it is datagrams between entries and agents of other failure domains: at 300, 1,041 KB/s of reports, three a second to each of 3,000 pairs, 657 KB/s of notices and 327 KB/s of lists of entries, though calls go to another domain only when the own one is full.

An entry whose own domain has room is now on standby at the agents of others (IsStandby): it sends them a notice every 1 to 3 s, by the entries of its domain, and each is answered by one report. It ends the standby at once when a call finds no capacity, and in the next round when less than half of the slots nearby are free, no agent nearby reports, or it has calls elsewhere. Changes of an engine's state still go to all at once, and entries use the state of distant engines for 4 s. Entries on standby do not count among those that share an engine's free slots. An agent's list of entries goes to an entry that has it as a digest.

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +12,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/delayestimator"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/grouper"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
@@ -69,6 +68,7 @@
 	}
 	d.updateBalancer()
 	interval := noticeInterval
+	far := d.farRound(time.Now(), v)
 	for service, list := range published {
 		notice := d.notice(v, service)
 		notice.Digest = list.digest
@@ -76,7 +76,14 @@
 			interval = urgentInterval
 		}
 		for _, u := range chosen[service] {
-			d.sendNotice(u, notice, list.domains)
+			switch {
+			case u.FailureDomain == d.c.Settings.FailureDomain:
+				d.sendNotice(u, notice, list.domains)
+			case far.isDue:
+				notice := notice
+				notice.IsStandby = far.isStandby
+				d.sendNotice(u, notice, nil)
+			}
 		}
 	}
 	return interval
@@ -143,7 +150,7 @@
 	lists := make(map[string]publishedList)
 	for service, list := range byService(agents) {
 		domains := domainsOf(list)
-		lists[service] = publishedList{domains: domains, digest: digestOf(domains)}
+		lists[service] = publishedList{domains: domains, digest: grouper.Digest(domains)}
 	}
 	return lists
 }
@@ -156,27 +163,7 @@
 			byName[u.FailureDomain] = append(byName[u.FailureDomain], u.Address.Addr().String())
 		}
 	}
-	return listDomains(byName)
-}
-
-// listDomains sorts the failure domains by name and the machines within each.
-func listDomains(byName map[string][]string) (domains []wire.FleetDomain) {
-	for name, members := range byName {
-		slices.Sort(members)
-		domains = append(domains, wire.FleetDomain{Name: name, Members: members})
-	}
-	slices.SortFunc(domains, func(a, b wire.FleetDomain) int { return strings.Compare(a.Name, b.Name) })
-	return domains
-}
-
-// digestOf identifies a list of agents. A digest of 12 digits is enough to tell two lists apart.
-func digestOf(domains []wire.FleetDomain) string {
-	const digits = 12
-	var text strings.Builder
-	for _, domain := range domains {
-		text.WriteString(domain.Name + " " + strings.Join(domain.Members, " ") + "\n")
-	}
-	return foxtailwharf.Digest([]byte(text.String()))[:digits]
+	return grouper.List(byName)
 }
 
 // agentList identifies the list of agents that an agent last reported to have.
@@ -185,6 +172,33 @@
 	revision uint64 // store revision of the list
 }
 
+// heardEntries is the list of entries that an agent last reported to hear.
+type heardEntries struct {
+	digest  string
+	domains []wire.FleetDomain
+}
+
+// heardDigest returns the digest of the list of entries that an agent last reported; empty for none.
+func (d *Distributor) heardDigest(agent netip.Addr) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.heard[agent].digest
+}
+
+// hearEntries returns the entries that a report lists, or those of the same digest that its agent listed before.
+func (d *Distributor) hearEntries(from netip.Addr, report wire.FleetReport) []wire.FleetDomain {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(report.Entries) > 0 {
+		d.heard[from] = heardEntries{digest: report.EntriesDigest, domains: report.Entries}
+		return report.Entries
+	}
+	if heard := d.heard[from]; report.EntriesDigest != "" && heard.digest == report.EntriesDigest {
+		return heard.domains
+	}
+	return nil
+}
+
 // pushDelay is how long an agent may have another list of agents before it gets one that it has not asked for.
 const pushDelay = 2 * time.Second
 
@@ -201,6 +215,7 @@
 		notice.Domains = domains
 		kind = kindAgents
 	}
+	notice.EntriesDigest = d.heardDigest(u.Address.Addr())
 	d.notifier.Send(d.kind(kind, u.FailureDomain), notice, d.c.Settings.PeerAddress(u.Address.Addr()))
 }
 
@@ -269,7 +284,7 @@
 	d.lists[from.Addr()] = agentList{digest: report.Digest, revision: report.ListRevision}
 	d.mu.Unlock()
 	d.answerReport(from, report)
-	d.handleEntries(report.Entries)
+	d.handleEntries(d.hearEntries(from.Addr(), report))
 	if report.Release > 0 {
 		newest := wire.NamedRelease{Version: report.Release, AgeMillis: report.ReleaseAgeMillis}
 		d.mergeReleases(report.Model, timekeeper.FromList(arrived, newest, report.Earlier, report.HasEarlier))
--- a/internal/process/distributor/discovery.go
+++ b/internal/process/distributor/discovery.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/grouper"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -122,5 +123,5 @@
 			byDomain[e.domain] = append(byDomain[e.domain], address.String())
 		}
 	}
-	return wire.FleetMeeting{Entries: listDomains(byDomain), IsSettled: isSettled, Process: d.c.Seed, Sequence: d.entrySequence}, nil
+	return wire.FleetMeeting{Entries: grouper.List(byDomain), IsSettled: isSettled, Process: d.c.Seed, Sequence: d.entrySequence}, nil
 }
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -91,11 +91,13 @@
 	lastProof, catchUpUntil time.Duration
 	// hasReleases is set once the releases have been read from the store.
 	hasReleases    bool
-	agents         []foxtailwharf.Upstream        // upstreams with an engine, of all services
-	published      map[string]publishedList       // the same by service, as the agents get it
-	chosen         []foxtailwharf.Upstream        // agents with which this entry exchanges messages
-	lists          map[netip.Addr]agentList       // list that each agent last reported
-	lackingSince   map[netip.Addr]time.Time       // since when agents lack the list of agents
+	agents         []foxtailwharf.Upstream     // upstreams with an engine, of all services
+	published      map[string]publishedList    // the same by service, as the agents get it
+	chosen         []foxtailwharf.Upstream     // agents with which this entry exchanges messages
+	lists          map[netip.Addr]agentList    // list that each agent last reported
+	lackingSince   map[netip.Addr]time.Time    // since when agents lack the list of agents
+	heard          map[netip.Addr]heardEntries // entries that each agent last listed
+	farNotices     farNotices
 	delayestimator *delayestimator.DelayEstimator // delays of the agents' reports
 	fullLinks      map[netip.Addr]bool            // machines whose links are saturated, for the log
 	entries        map[netip.AddrPort]otherEntry
@@ -105,6 +107,8 @@
 
 	// The configuration and the whole list of upstreams as last sent to another entry.
 	packedConfiguration, packedList packedDocument
+
+	farWantedUntil atomic.Int64 // Unix time in nanoseconds; until then agents of other domains report continuously
 }
 
 // task is a background loop of the entry. It ends with its context.
@@ -123,6 +127,7 @@
 		timekeeper:     timekeeper.New(timekeeper.Config{Switch: c.Settings.Switch}),
 		lists:          make(map[netip.Addr]agentList),
 		lackingSince:   make(map[netip.Addr]time.Time),
+		heard:          make(map[netip.Addr]heardEntries),
 		delayestimator: delayestimator.New(),
 		fullLinks:      make(map[netip.Addr]bool),
 		notifyNow:      make(chan struct{}, 1),
@@ -135,7 +140,7 @@
 	d.peerRandom = d.random("peers")
 	d.limits = newLimitKeeper(d)
 	d.assigner = assigner.New(balancer.New(balancer.Config{
-		FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer"), OnAsk: d.limits.wakeUp,
+		FailureDomain: c.Settings.FailureDomain, Random: d.random("balancer"), OnAsk: d.limits.wakeUp, OnLack: d.wantFarReports,
 	}))
 	d.callers = callerlimiter.New(callerlimiter.Config{Meter: d.meter, Log: c.Log})
 	d.requester = requester.New(requester.Config{Network: c.Network})
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -110,6 +110,7 @@
 	revision        uint64   // revision of the store at which agents was read
 	domain          []string // machines of this agent's failure domain
 	firstNotice     time.Time
+	entryList       entryList
 	askedAt         time.Time      // last question for the list of agents
 	asked           netip.AddrPort // entry that is still to be asked; zero for none
 	entries         map[netip.AddrPort]entry
@@ -125,6 +126,10 @@
 	lastNotice time.Time
 	domain     string
 	linkDelay  time.Duration // delay of this agent's reports, as measured by the entry
+	isStandby  bool          // wants one report for each notice
+	isDue      bool          // has to get a report now
+	listedAt   time.Time     // when it last got the entries or their digest
+	heldDigest string        // of the list of entries that it has from this agent
 }
 
 // wantedRelease is the release that the entries want engines to serve.
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -11,6 +11,7 @@
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/delayestimator"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/notifier"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/grouper"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/timekeeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -31,8 +32,10 @@
 	// of their own domain, unless there are none.
 	entriesInterval    = 2 * time.Second
 	farEntriesInterval = 6 * time.Second
-	// entryTTL is how long an entry gets reports after its last notice.
-	entryTTL = 4 * time.Second
+	// entryTTL is how long an entry gets reports after its last notice, and standbyTTL how long one does that
+	// sends notices every few seconds.
+	entryTTL   = 4 * time.Second
+	standbyTTL = 8 * time.Second
 )
 
 // reporter polls the engine's state and reports it to the entries. Its fields, other than done and
@@ -45,11 +48,7 @@
 	isDown     bool
 	sent       wire.FleetReport
 	nearSentAt time.Time // last report to entries of the same failure domain
-	farSentAt  time.Time // last report to all entries
-	// nearListedAt and farListedAt are when the list of the entries was last sent to entries of the
-	// same failure domain and of others.
-	nearListedAt time.Time
-	farListedAt  time.Time
+	farSentAt  time.Time // last report to all entries but those on standby
 }
 
 // run polls and reports until the context ends.
@@ -113,38 +112,37 @@
 
 // sendReports sends a report to the entries that are due one: those of the same failure domain
 // after any change and at least every reportInterval, the others after an urgent change and
-// otherwise every reportInterval.
+// otherwise every reportInterval, those on standby after an urgent change or a notice.
 func (r *reporter) sendReports() {
 	now := time.Now()
-	report, near, far := r.report(now)
+	report, to := r.report(now)
 	r.askForAgents(report)
-	if len(near)+len(far) == 0 {
+	if to.count() == 0 {
 		r.reportToSeeds(now, report)
 		return
 	}
-	isFar := now.Sub(r.farSentAt) >= reportInterval || isUrgent(report, r.sent)
-	if !isFar && isSame(report, r.sent) && now.Sub(r.nearSentAt) < reportInterval {
-		return
-	}
-	r.sent, r.nearSentAt = report, now
-	short := shortened(report)
-	if !isFar {
-		r.send(kindReport, short, near)
-		return
+	isUrgent := isUrgent(report, r.sent)
+	isFar := now.Sub(r.farSentAt) >= reportInterval || isUrgent
+	isNear := isFar || !isSame(report, r.sent) || now.Sub(r.nearSentAt) >= reportInterval
+	receivers := append(due(to.standby, isUrgent), due(to.far, isFar)...)
+	if isFar {
+		r.farSentAt = now
 	}
-	r.farSentAt = now
-	if now.Sub(r.nearListedAt) >= entriesInterval {
-		r.nearListedAt = now
-		r.send(kindEntries, report, near)
-	} else {
-		r.send(kindReport, short, near)
+	if isNear {
+		r.sent, r.nearSentAt = report, now
+		receivers = append(receivers, to.near...)
 	}
-	if now.Sub(r.farListedAt) >= farEntriesInterval {
-		r.farListedAt = now
-		r.send(kindEntries, report, far)
-	} else {
-		r.send(kindReport, short, far)
+	r.send(now, report, receivers)
+}
+
+// due returns the listeners that have to get a report now, or all.
+func due(listeners []listener, areAll bool) (list []listener) {
+	for _, l := range listeners {
+		if areAll || l.isDue {
+			list = append(list, l)
+		}
 	}
+	return list
 }
 
 // Kinds of reports in the metrics.
@@ -152,30 +150,70 @@
 	kindReport  = "Report"
 	kindAsk     = "Ask"         // a report that asks for the list of agents
 	kindEntries = "Entries"     // a report with the list of the entries
+	kindDigest  = "Digest"      // a report with the digest of that list
 	kindSeed    = "FirstReport" // to a seed, whose failure domain is unknown
 )
 
 // listener is an entry that gets reports.
 type listener struct {
-	address netip.AddrPort
-	isFar   bool // it is in another region
+	address    netip.AddrPort
+	isFar      bool // it is in another region
+	isDue      bool // it has to get a report now
+	wantsList  bool // it has to get the list of the entries, or its digest
+	heldDigest string
+}
+
+// audience holds the entries that get reports.
+type audience struct {
+	near    []listener // of the same failure domain
+	far     []listener // of others
+	standby []listener // of others, and do not need calls run here at present
 }
 
-// send sends a report to entries.
-func (r *reporter) send(kind string, report wire.FleetReport, to []listener) {
-	for _, isFar := range []bool{false, true} {
-		var receivers []netip.AddrPort
-		for _, l := range to {
-			if l.isFar == isFar {
-				receivers = append(receivers, l.address)
+func (a audience) count() int {
+	return len(a.near) + len(a.far) + len(a.standby)
+}
+
+// content is what a report to an entry contains beside the state of the engine.
+type content struct {
+	kind  string
+	isFar bool
+}
+
+// send sends a report to entries. It is encoded once for all that get the same.
+func (r *reporter) send(now time.Time, report wire.FleetReport, to []listener) {
+	receivers := make(map[content][]netip.AddrPort)
+	for _, l := range to {
+		c := content{kind: kindReport, isFar: l.isFar}
+		if l.wantsList {
+			c.kind = kindEntries
+			if l.heldDigest == r.p.listedEntries(now).digest {
+				c.kind = kindDigest
 			}
 		}
-		if len(receivers) > 0 {
-			r.p.notifier.Send(notifier.Kind{Name: kind, IsFar: isFar}, report, receivers...)
+		receivers[c] = append(receivers[c], l.address)
+	}
+	for c, addresses := range receivers {
+		r.p.notifier.Send(notifier.Kind{Name: c.kind, IsFar: c.isFar}, r.contents(now, report, c.kind), addresses...)
+		if c.kind != kindReport {
+			r.p.noteListed(now, addresses)
 		}
 	}
 }
 
+// contents returns the report with what one of this kind contains.
+func (r *reporter) contents(now time.Time, report wire.FleetReport, kind string) wire.FleetReport {
+	if kind == kindReport {
+		return shortened(report)
+	}
+	list := r.p.listedEntries(now)
+	report.EntriesDigest = list.digest
+	if kind == kindEntries {
+		report.Entries = list.domains
+	}
+	return report
+}
+
 // askForAgents sends the question for the list of agents that is due.
 func (r *reporter) askForAgents(report wire.FleetReport) {
 	asked := r.p.takeAsked()
@@ -218,9 +256,8 @@
 	return !isUrgent(a, b) && a.Running == b.Running && a.Queued == b.Queued && a.ReadingTokens == b.ReadingTokens && a.Digest == b.Digest
 }
 
-// report builds the report and returns the entries to send it to, in the same failure domain and
-// in others. It forgets entries whose notices are older than entryTTL.
-func (r *reporter) report(now time.Time) (report wire.FleetReport, near, far []listener) {
+// report builds the report and returns the entries that get reports. It forgets entries whose notices are too old.
+func (r *reporter) report(now time.Time) (report wire.FleetReport, to audience) {
 	p := r.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -240,24 +277,44 @@
 		ListRevision: p.revision,
 	}
 	p.addReleases(&report)
-	byDomain := make(map[string][]string)
 	for address, e := range p.entries {
-		if now.Sub(e.lastNotice) > entryTTL {
+		if now.Sub(e.lastNotice) > e.lifetime() {
 			delete(p.entries, address)
 			continue
 		}
-		if e.domain == p.c.Settings.FailureDomain {
-			near = append(near, listener{address: address})
-		} else {
-			far = append(far, listener{address: address, isFar: p.c.Settings.IsFar(e.domain)})
+		isNear := e.domain == p.c.Settings.FailureDomain
+		l := listener{address: address, isFar: p.c.Settings.IsFar(e.domain), isDue: e.isDue, heldDigest: e.heldDigest}
+		l.wantsList = now.Sub(e.listedAt) >= listInterval(isNear)
+		e.isDue = false
+		p.entries[address] = e
+		switch {
+		case isNear:
+			to.near = append(to.near, l)
+		case e.isStandby:
+			to.standby = append(to.standby, l)
+		default:
+			to.far = append(to.far, l)
 		}
-		byDomain[e.domain] = append(byDomain[e.domain], address.String())
 	}
-	for name, members := range byDomain {
-		report.Entries = append(report.Entries, wire.FleetDomain{Name: name, Members: members})
+	// Entries on standby send calls here only after their next notice.
+	report.Listeners = len(to.near) + len(to.far)
+	return report, to
+}
+
+// lifetime returns how long the entry gets reports after its last notice.
+func (e entry) lifetime() time.Duration {
+	if e.isStandby {
+		return standbyTTL
 	}
-	report.Listeners = len(near) + len(far)
-	return report, near, far
+	return entryTTL
+}
+
+// listInterval returns the time between two reports with the list of the entries, or its digest, to an entry.
+func listInterval(isNear bool) time.Duration {
+	if isNear {
+		return entriesInterval
+	}
+	return farEntriesInterval
 }
 
 // handleNotice processes a datagram from an entry: either the prompt tokens of a call that it sent
@@ -279,7 +336,7 @@
 		return
 	}
 	p.estimator.SetRate(now, float64(n.ReadPace))
-	p.entries[from] = entry{lastNotice: now, domain: n.Domain, linkDelay: time.Duration(n.ReportDelayMillis) * time.Millisecond}
+	p.noteEntry(now, from, n)
 	if origin, err := netip.ParseAddrPort(n.Origin); err == nil {
 		p.c.Origin.SetAddress(origin)
 		p.originRegion = p.c.Settings.Regions[n.OriginDomain]
@@ -296,6 +353,57 @@
 	}
 }
 
+// noteEntry records an entry that has sent a notice. One that is new, on standby or no longer so gets a report at once.
+// p.mu must be held.
+func (p *Provisioner) noteEntry(now time.Time, from netip.AddrPort, n wire.FleetNotice) {
+	e, isKnown := p.entries[from]
+	if n.IsStandby || !isKnown || e.isStandby {
+		e.isDue = true
+		p.reporter.signal()
+	}
+	e.lastNotice, e.domain, e.linkDelay = now, n.Domain, time.Duration(n.ReportDelayMillis)*time.Millisecond
+	e.isStandby, e.heldDigest = n.IsStandby, n.EntriesDigest
+	p.entries[from] = e
+}
+
+// entryList is the list of the entries that this agent hears, as entries get it.
+type entryList struct {
+	domains []wire.FleetDomain
+	digest  string
+	builtAt time.Time
+}
+
+// entryListTTL is how long a list is used before it is built anew.
+const entryListTTL = 500 * time.Millisecond
+
+// listedEntries returns the list of the entries that this agent hears.
+func (p *Provisioner) listedEntries(now time.Time) entryList {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.entryList.builtAt) < entryListTTL {
+		return p.entryList
+	}
+	byDomain := make(map[string][]string)
+	for address, e := range p.entries {
+		byDomain[e.domain] = append(byDomain[e.domain], address.String())
+	}
+	domains := grouper.List(byDomain)
+	p.entryList = entryList{domains: domains, digest: grouper.Digest(domains), builtAt: now}
+	return p.entryList
+}
+
+// noteListed records that entries have been sent the list of the entries, or its digest.
+func (p *Provisioner) noteListed(now time.Time, to []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range to {
+		if e, isKnown := p.entries[address]; isKnown {
+			e.listedAt = now
+			p.entries[address] = e
+		}
+	}
+}
+
 const (
 	// askInterval is the time between two questions for the list of agents.
 	askInterval = 250 * time.Millisecond
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -26,6 +26,8 @@
 	Random        *rand.Rand
 	// OnAsk is called when TakeAsks has requests to the entries that keep limits. It must not block.
 	OnAsk func()
+	// OnLack is called when a call for a model service has found no capacity; nil for nothing. It must not block.
+	OnLack func()
 }
 
 // Balancer holds what one entry knows of the upstreams. It is not safe for concurrent use.
@@ -157,6 +159,7 @@
 		}
 		b.updateStatement(u)
 		u.isReporting = b.reporting == nil || b.reporting[listed.ID]
+		u.isFar = listed.FailureDomain != b.c.FailureDomain
 		u.isReplaced = false
 		byID[listed.ID] = u
 		b.byService[listed.Service] = append(b.byService[listed.Service], u)
@@ -273,8 +276,29 @@
 	}
 }
 
+// NeedsFar reports whether this entry may have to send calls to engines of other failure domains: less than a fraction
+// of the slots of those in its own domain that report to it are free, or it has calls at others.
+func (b *Balancer) NeedsFar(now time.Time, minFree float64) bool {
+	slots, free := 0, 0
+	for id := range b.reporting {
+		u := b.byID[id]
+		if u == nil {
+			continue
+		}
+		if u.FailureDomain != b.c.FailureDomain {
+			if u.ownInFlight > 0 {
+				return true
+			}
+			continue
+		}
+		slots += u.Slots
+		free += u.freeSlots(now)
+	}
+	return float64(free) < minFree*float64(slots) || slots == 0
+}
+
 // IsLoading reports whether a recent report says that the upstream is loading weights.
 func (b *Balancer) IsLoading(now time.Time, id string) bool {
 	u := b.byID[id]
-	return u != nil && u.load.IsLoading && u.reportAge(now) < stateLifetime
+	return u != nil && u.load.IsLoading && u.reportAge(now) < u.stateLifetime()
 }
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -312,3 +312,57 @@
 		t.Error("an engine that has started anew does not count as lost")
 	}
 }
+
+// TestNeedsFar checks when an entry needs engines of other failure domains: its own domain has few free slots as far as
+// it knows, or it has calls elsewhere.
+func TestNeedsFar(t *testing.T) {
+	idle, busy := foxtailwharf.UpstreamLoad{Weights: 1, Running: 1}, foxtailwharf.UpstreamLoad{Weights: 1, Running: 3}
+	down, loading := foxtailwharf.UpstreamLoad{Weights: 1, IsDown: true}, foxtailwharf.UpstreamLoad{Weights: 1, IsLoading: true}
+	empty := foxtailwharf.UpstreamLoad{}
+	tests := []struct {
+		name    string
+		reports [2]*foxtailwharf.UpstreamLoad // of the two engines nearby
+		age     time.Duration                 // of the reports
+		sent    string                        // upstream to which a call was sent; empty for none
+		want    bool
+	}{
+		{"room", [2]*foxtailwharf.UpstreamLoad{&idle, &idle}, 0, "", false},
+		{"one full, one free", [2]*foxtailwharf.UpstreamLoad{&busy, &idle}, 0, "", false},
+		{"both nearly full", [2]*foxtailwharf.UpstreamLoad{&busy, &busy}, 0, "", true},
+		{"one down", [2]*foxtailwharf.UpstreamLoad{&idle, &down}, 0, "", true},
+		{"one loading", [2]*foxtailwharf.UpstreamLoad{&loading, &idle}, 0, "", true},
+		{"no weights", [2]*foxtailwharf.UpstreamLoad{&empty, &empty}, 0, "", true},
+		{"never reported", [2]*foxtailwharf.UpstreamLoad{nil, nil}, 0, "", true},
+		{"old reports", [2]*foxtailwharf.UpstreamLoad{&idle, &idle}, time.Second, "", true},
+		{"call nearby", [2]*foxtailwharf.UpstreamLoad{&idle, &idle}, 0, "u1", false},
+		{"call elsewhere", [2]*foxtailwharf.UpstreamLoad{&idle, &idle}, 0, "u3", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			list := []foxtailwharf.Upstream{listed(1, "near", 1), listed(2, "near", 1), listed(3, "far", 1)}
+			b := newBalancer(list...)
+			b.SetSubset(list)
+			for n, report := range tt.reports {
+				if report != nil {
+					b.Report(start, machine(n+1), *report)
+				}
+			}
+			b.Sent(start, tt.sent, 0)
+			if have := b.NeedsFar(start.Add(tt.age), 0.5); have != tt.want {
+				t.Errorf("have %t, want %t", have, tt.want)
+			}
+		})
+	}
+}
+
+// TestFarStateLasts checks that the state of an engine is used for longer in another failure domain, whose agents report
+// rarely while this entry does not need them.
+func TestFarStateLasts(t *testing.T) {
+	for domain, want := range map[string]bool{"near": true, "far": false} {
+		b := newBalancer(listed(1, domain, 1))
+		b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, IsLoading: true})
+		if have := b.HasCandidates(start.Add(3*time.Second), model); have != want {
+			t.Errorf("%s: may get calls 3 s after it has begun to load: %t, want %t", domain, have, want)
+		}
+	}
+}
--- a/internal/request/balancer/picker.go
+++ b/internal/request/balancer/picker.go
@@ -88,6 +88,9 @@
 // HasCandidates reports whether an upstream of the service is eligible for the call, whatever its load.
 func (b *Balancer) HasCandidates(now time.Time, req Requirements) bool {
 	_, _, hasCandidates := b.newPicker(now, &req).result()
+	if !hasCandidates {
+		b.noteLack(req)
+	}
 	return hasCandidates
 }
 
@@ -110,11 +113,19 @@
 		b.wantPermit(p.best[limited].limit, bestIn == limited)
 	}
 	if best == nil {
+		b.noteLack(req)
 		return chosen, false, hasCandidates
 	}
 	return best.current(), true, true
 }
 
+// noteLack records that a call has found no capacity.
+func (b *Balancer) noteLack(req Requirements) {
+	if req.NeedsWeights && b.c.OnLack != nil {
+		b.c.OnLack()
+	}
+}
+
 // consider adds an upstream to its group.
 func (p *picker) consider(u *upstream) {
 	age := u.reportAge(p.now)
--- a/internal/request/balancer/upstream.go
+++ b/internal/request/balancer/upstream.go
@@ -14,6 +14,9 @@
 	// stateLifetime is how long the state in a report (down, loading, weights, link delay) is
 	// used without a newer report.
 	stateLifetime = 1500 * time.Millisecond
+	// farStateLifetime is the same for upstreams of other failure domains. Their agents report every few seconds
+	// while this entry does not need them, and each change of the state at once.
+	farStateLifetime = 4 * time.Second
 	// faultsToEject is the number of consecutive faults after which an upstream is ejected.
 	faultsToEject = 3
 	// baseEjectionTime is the length of the first ejection. It doubles with each further fault.
@@ -38,6 +41,7 @@
 	ownInFlight       int  // calls of this entry
 	isReporting       bool // its agent reports to this entry
 	isReplaced        bool // a younger upstream is listed at its address
+	isFar             bool // it is in another failure domain
 	load              foxtailwharf.UpstreamLoad
 	reportedAt        time.Time // zero before the first report
 	downSince         time.Time // first of the reports in a row that say that it is down; zero if the last one does not
@@ -80,6 +84,22 @@
 	return now.Sub(u.reportedAt)
 }
 
+// freeSlots returns the number of slots that are free by a recent report; 0 if the upstream takes no calls.
+func (u *upstream) freeSlots(now time.Time) int {
+	if u.IsDraining || u.load.IsDown || u.load.IsLoading || u.load.Weights == 0 || u.reportAge(now) > loadLifetime {
+		return 0
+	}
+	return max(u.Slots-u.load.Running-u.load.Queued, 0)
+}
+
+// stateLifetime returns how long the state in a report is used without a newer one.
+func (u *upstream) stateLifetime() time.Duration {
+	if u.isFar {
+		return farStateLifetime
+	}
+	return stateLifetime
+}
+
 // The methods below take the age of the last report.
 
 // prefillTime estimates how long the upstream will be reading the prompts that it has.
@@ -99,13 +119,13 @@
 
 // isReady reports whether the upstream answers its agent and loads no weights, as far as a recent report tells.
 func (u *upstream) isReady(age time.Duration) bool {
-	return age >= stateLifetime || (!u.load.IsDown && !u.load.IsLoading)
+	return age >= u.stateLifetime() || (!u.load.IsDown && !u.load.IsLoading)
 }
 
 // weights returns the version that an upstream holds, from its agent's report if that is recent,
 // else from the list.
 func (u *upstream) weights(age time.Duration) int64 {
-	if age < stateLifetime {
+	if age < u.stateLifetime() {
 		return u.load.Weights
 	}
 	return u.Weights
@@ -113,7 +133,7 @@
 
 // linkDelay returns the queueing delay on the upstream's link; 0 without a recent report.
 func (u *upstream) linkDelay(age time.Duration) time.Duration {
-	if age > stateLifetime {
+	if age > u.stateLifetime() {
 		return 0
 	}
 	return u.load.LinkDelay
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -358,12 +358,18 @@
 	// order
 	Earlier []NamedRelease `json:"Earlier,omitempty,omitzero"`
 
+	// digest of the list of entries that the entry has from the agent
+	EntriesDigest string `json:"EntriesDigest,omitempty,omitzero"`
+
 	// Earlier is whole; older builds know of Release alone
 	HasEarlier bool `json:"HasEarlier,omitempty,omitzero"`
 
 	// the entry does not know when the release was named
 	IsGuess bool `json:"IsGuess,omitempty,omitzero"`
 
+	// the entry wants one report now, and no others until its next notice
+	IsStandby bool `json:"IsStandby,omitempty,omitzero"`
+
 	// of the store, that of the list which Digest is of
 	ListRevision uint64 `json:"ListRevision,omitempty,omitzero"`
 
@@ -477,6 +483,10 @@
 	// entries that the agent hears, by failure domain; left out in most reports
 	Entries []FleetDomain `json:"Entries,omitempty,omitzero"`
 
+	// digest of the list of entries; an entry that has the list of this digest gets
+	// it without Entries
+	EntriesDigest string `json:"EntriesDigest,omitempty,omitzero"`
+
 	// Earlier is whole; older builds know of Release alone
 	HasEarlier bool `json:"HasEarlier,omitempty,omitzero"`
 
