The list of agents that an agent gets is bounded, and owners of chunks are those that all know

At 1,500 agents a notice with the list of agents has 25 KB, at the target of 3,400 56 KB, 38 packets, each of which loses the whole datagram; a fetch of weights cannot begin before it arrives.

An agent gets the first 512 by hash of its own failure domain, for its neighbours and its place in the order of loads, and the first 64 of each other domain. These 64 of each domain are the same for all: only they own chunks and read manifests, since agents that know different parts of the fleet would choose different owners. TestOwnersOfLargeFleet (300 agents that know 132 each), before: 16 chunks are fetched 37 times from the origin, want 16. Fleets with 64 agents a domain or fewer are not affected.

The whole fleet at 3,400 agents was not run, only the list and the selector.

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -139,7 +139,7 @@
 	d.notifier.Send(d.kind(kindCall, u.FailureDomain), wire.FleetNotice{PlacedTokens: max(tokens, 1)}, d.c.Settings.PeerAddress(u.Address.Addr()))
 }
 
-// publishedList is the list of a service's agents as the agents get it.
+// publishedList is the list of a service's agents. Each agent gets a part of it, and the digest of the whole.
 type publishedList struct {
 	domains []wire.FleetDomain
 	digest  string
@@ -212,7 +212,7 @@
 	isNear := u.FailureDomain == d.c.Settings.FailureDomain
 	isLacking := isNear && held.digest != notice.Digest && held.revision <= notice.ListRevision
 	if d.hasLackedFor(now, u.Address.Addr(), isLacking) >= pushDelay {
-		notice.Domains = domains
+		notice.Domains = grouper.Bound(domains, u.FailureDomain)
 		kind = kindAgents
 	}
 	notice.EntriesDigest = d.heardDigest(u.Address.Addr())
@@ -324,12 +324,12 @@
 	d.mu.Unlock()
 	notice := d.notice(v, report.Service)
 	notice.Digest = list.digest
-	kind := kindFirst
 	if report.WantsAgents {
-		notice.Domains = list.domains
-		kind = kindAgents
+		notice.Domains = grouper.Bound(list.domains, report.Domain)
+		d.notifier.Send(d.kind(kindAgents, report.Domain), notice, to)
+		return
 	}
-	d.notifier.Send(notifier.Kind{Name: kind, IsFar: true}, notice, to)
+	d.notifier.Send(notifier.Kind{Name: kindFirst, IsFar: true}, notice, to)
 }
 
 // otherEntry is another entry, as an agent or an entry last listed it.
--- a/internal/process/provisioner/manifests.go
+++ b/internal/process/provisioner/manifests.go
@@ -67,10 +67,10 @@
 // originReaders returns the agents chosen to read a manifest from the origin, and whether this
 // agent should read it. An agent that knows no others always should.
 func (i *installLoop) originReaders(release foxtailwharf.Release) (readers []foxtailwharf.Instance, isReader bool) {
-	holders := i.p.holders()
-	byName := make(map[string]foxtailwharf.Instance, len(holders))
-	names := make([]string, 0, len(holders))
-	for _, a := range holders {
+	owners := i.p.owners()
+	byName := make(map[string]foxtailwharf.Instance, len(owners))
+	names := make([]string, 0, len(owners))
+	for _, a := range owners {
 		byName[a.Name] = a
 		names = append(names, a.Name)
 	}
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -106,9 +106,10 @@
 	model           string // that the engine serves, as the entries say
 	timekeeper      *timekeeper.Timekeeper
 	agents          []foxtailwharf.Instance
-	digest          string   // digest of agents as the entries sent it
-	revision        uint64   // revision of the store at which agents was read
-	domain          []string // machines of this agent's failure domain
+	candidates      []foxtailwharf.Instance // those of agents that all agents know
+	digest          string                  // digest of agents as the entries sent it
+	revision        uint64                  // revision of the store at which agents was read
+	domain          []string                // machines of this agent's failure domain
 	firstNotice     time.Time
 	entryList       entryList
 	askedAt         time.Time      // last question for the list of agents
@@ -160,6 +161,7 @@
 	p.fetcher = fetcher.New(fetcher.Config{
 		Self:            p.self,
 		Holders:         p.holders,
+		Owners:          p.owners,
 		Holder:          p.holder,
 		Client:          p.client,
 		HTTP:            p.http,
@@ -240,7 +242,14 @@
 	}
 }
 
-// holders returns the agents that share weights. The slice must not be changed.
+// owners returns the agents that may bring chunks into their regions. The slice must not be changed.
+func (p *Provisioner) owners() []foxtailwharf.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.candidates
+}
+
+// holders returns the agents that share weights, as far as this one knows them. The slice must not be changed.
 func (p *Provisioner) holders() []foxtailwharf.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/process/provisioner/reporter.go
+++ b/internal/process/provisioner/reporter.go
@@ -221,7 +221,7 @@
 		return
 	}
 	report = shortened(report)
-	report.Service, report.WantsAgents = r.p.c.Settings.Service, true
+	report.Service, report.Domain, report.WantsAgents = r.p.c.Settings.Service, r.p.c.Settings.FailureDomain, true
 	r.p.notifier.Send(notifier.Kind{Name: kindAsk}, report, asked)
 }
 
@@ -467,8 +467,11 @@
 // updateAgents replaces the list of agents. p.mu must be held.
 func (p *Provisioner) updateAgents(n wire.FleetNotice) {
 	p.digest, p.revision = n.Digest, n.ListRevision
-	p.agents = nil
-	p.domain = nil
+	p.agents, p.candidates, p.domain = nil, nil, nil
+	candidates := make(map[string]bool)
+	for _, machine := range grouper.Candidates(n.Domains) {
+		candidates[machine] = true
+	}
 	for _, domain := range n.Domains {
 		for _, text := range domain.Members {
 			machine, err := netip.ParseAddr(text)
@@ -476,7 +479,11 @@
 				p.c.Log.Warn("agent: ignored an invalid machine address in the list of agents", zap.String("Machine", text))
 				continue
 			}
-			p.agents = append(p.agents, p.instance(machine, domain.Name))
+			agent := p.instance(machine, domain.Name)
+			p.agents = append(p.agents, agent)
+			if candidates[text] {
+				p.candidates = append(p.candidates, agent)
+			}
 			if domain.Name == p.c.Settings.FailureDomain {
 				p.domain = append(p.domain, text)
 			}
--- a/internal/version/fetcher/fetcher.go
+++ b/internal/version/fetcher/fetcher.go
@@ -46,11 +46,14 @@
 	Self func() foxtailwharf.Instance
 	// Holders returns the agents that should have the version.
 	Holders func() []foxtailwharf.Instance
-	Holder  *holder.Holder
-	Client  *messenger.Client
-	HTTP    *http.Client
-	Origin  foxtailwharf.Origin
-	Policy  foxtailwharf.FetchPolicy
+	// Owners returns the agents that may bring chunks into their regions, which all agents have to know; nil for all
+	// holders.
+	Owners func() []foxtailwharf.Instance
+	Holder *holder.Holder
+	Client *messenger.Client
+	HTTP   *http.Client
+	Origin foxtailwharf.Origin
+	Policy foxtailwharf.FetchPolicy
 	// OriginRegion returns the region of the origin; nil or an empty result if it is unknown.
 	OriginRegion func() string
 	// OriginRate returns the sending rate of the origin in bytes per second; nil or 0 if it is
--- a/internal/version/fetcher/session.go
+++ b/internal/version/fetcher/session.go
@@ -122,6 +122,9 @@
 	holders := s.f.c.Holders()
 	s.mu.Lock()
 	s.selector.SetHolders(holders)
+	if s.f.c.Owners != nil {
+		s.selector.SetOwners(s.f.c.Owners())
+	}
 	s.members = make(map[string]foxtailwharf.Instance, len(holders))
 	for _, i := range holders {
 		s.members[i.Name] = i
--- a/internal/version/selector/selector.go
+++ b/internal/version/selector/selector.go
@@ -92,6 +92,7 @@
 	tried           map[int]map[string]bool // by chunk, the owners that were asked without success
 	primaryMisses   map[int]int             // by chunk, Missing results from the primary owner
 	holders         []foxtailwharf.Instance // agents that should have the version, this one included
+	owners          []foxtailwharf.Instance // agents that may own chunks; nil for all holders
 	regions         []string
 	precedingOwners [][]string // per chunk, the agents of this region before this one in hash order
 	primaryOwners   []string   // per chunk, the owner in its primary region
@@ -142,7 +143,7 @@
 	if !slices.ContainsFunc(holders, func(i foxtailwharf.Instance) bool { return i.Name == s.c.Self.Name }) {
 		holders = append(slices.Clone(holders), s.c.Self)
 	}
-	if slices.EqualFunc(holders, s.holders, func(a, b foxtailwharf.Instance) bool { return a.Name == b.Name && a.Region == b.Region }) {
+	if areSame(holders, s.holders) {
 		return
 	}
 	s.holders = holders
@@ -156,16 +157,35 @@
 	s.rankOwners()
 }
 
-// rankOwners computes the owners of each chunk, once per list of holders.
+// SetOwners sets the agents that may own chunks, which are known to all agents; none for all holders. An agent that is not
+// one of them takes over from them only when all have failed.
+func (s *Selector) SetOwners(owners []foxtailwharf.Instance) {
+	if areSame(owners, s.owners) {
+		return
+	}
+	s.owners = owners
+	s.rankOwners()
+}
+
+func areSame(a, b []foxtailwharf.Instance) bool {
+	return slices.EqualFunc(a, b, func(a, b foxtailwharf.Instance) bool { return a.Name == b.Name && a.Region == b.Region })
+}
+
+// rankOwners computes the owners of each chunk, once per list of holders and owners.
 func (s *Selector) rankOwners() {
 	s.precedingOwners = make([][]string, len(s.has))
 	s.primaryOwners = make([]string, len(s.has))
+	owners := s.owners
+	if len(owners) == 0 {
+		owners = s.holders
+	}
+	isOwner := slices.ContainsFunc(owners, func(i foxtailwharf.Instance) bool { return i.Name == s.c.Self.Name })
 	for chunk := range s.has {
 		own := s.score(chunk, s.c.Self.Name)
 		var best uint64
-		for _, i := range s.holders {
+		for _, i := range owners {
 			score := s.score(chunk, i.Name)
-			if i.Region == s.c.Self.Region && score > own {
+			if i.Region == s.c.Self.Region && (score > own || !isOwner) {
 				s.precedingOwners[chunk] = append(s.precedingOwners[chunk], i.Name)
 			}
 			if i.Region == s.primaryRegion(chunk) && score >= best {
--- a/internal/version/selector/selector_test.go
+++ b/internal/version/selector/selector_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -281,3 +282,40 @@
 		}
 	})
 }
+
+// TestOwnersOfLargeFleet checks that one copy is fetched from the origin although agents of a large fleet know only a part of
+// the others: those of their own failure domain and the owners.
+func TestOwnersOfLargeFleet(t *testing.T) {
+	const chunks, domains, perDomain, ownersPerDomain = 16, 3, 100, 16
+	now := time.Unix(0, 0)
+	manifest := foxtailwharf.Manifest{}
+	for n := range chunks {
+		manifest.Chunks = append(manifest.Chunks, foxtailwharf.Chunk{Digest: foxtailwharf.Digest([]byte{byte(n)}), Size: 1})
+	}
+	var all, owners []foxtailwharf.Instance
+	for n := range domains * perDomain {
+		all = append(all, foxtailwharf.Instance{Name: fmt.Sprint("agent-", n), Region: "r", FailureDomain: fmt.Sprint("d", n%domains)})
+	}
+	owners = all[:domains*ownersPerDomain]
+	fromOrigin := 0
+	for _, self := range all {
+		s := selector.New(selector.Config{Self: self, Manifest: manifest, OriginRegion: "r", TakeoverTimeout: time.Minute, Random: rand.New(rand.NewPCG(1, 1))}, now)
+		known := slices.Clone(owners)
+		for _, other := range all[len(owners):] {
+			if other.FailureDomain == self.FailureDomain {
+				known = append(known, other)
+			}
+		}
+		s.SetHolders(known)
+		s.SetOwners(owners)
+		for f, isFound := s.Next(now); isFound; f, isFound = s.Next(now) {
+			if f.From == selector.Origin {
+				fromOrigin++
+			}
+			s.Finish(now, f, selector.Fetched)
+		}
+	}
+	if fromOrigin != chunks {
+		t.Errorf("%d chunks are fetched from the origin, want each of %d once", fromOrigin, chunks)
+	}
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -351,7 +351,8 @@
 	// failure domain of the entry
 	Domain string `json:"Domain,omitempty,omitzero"`
 
-	// agents that share weights; left out where the agent has the list of this digest
+	// agents that share weights, in a large fleet a part of them: those of the
+	// agent's own failure domain and a few of each other one
 	Domains []FleetDomain `json:"Domains,omitempty,omitzero"`
 
 	// the releases before Release that engines may still have to leave, in ascending
@@ -476,6 +477,9 @@
 	// digest of the list of agents that the agent knows
 	Digest string `json:"Digest,omitempty,omitzero"`
 
+	// failure domain of the agent; set with WantsAgents
+	Domain string `json:"Domain,omitempty,omitzero"`
+
 	// the releases before Release that engines may still have to leave, in ascending
 	// order
 	Earlier []NamedRelease `json:"Earlier,omitempty,omitzero"`
