--- a/standin/simulator/silence_test.go
+++ b/standin/simulator/silence_test.go
@@ -30,3 +30,24 @@
 		}
 	})
 }
+
+// TestCallsArriveWhileEnginesAreSilent guards against calls that are refused, since all engines are silent for a
+// moment, also towards their agents.
+func TestCallsArriveWhileEnginesAreSilent(t *testing.T) {
+	const silence = 1200 * time.Millisecond
+	run(t, simulator.Config{Entries: 4, Engines: 3, Slots: 8, Events: 12}, 0, func(h *harness) {
+		for _, e := range h.Engines {
+			e.FallSilent(silence)
+		}
+		h.load("chat", 15, silence, 100)
+		h.callers.Wait()
+		for _, c := range h.results["chat"] {
+			if !c.isWhole {
+				t.Errorf("status %d, %s after its start, want a whole stream", c.status, c.ended.Sub(c.sent))
+			}
+		}
+		if len(h.results["chat"]) < 10 {
+			t.Errorf("%d calls, want more", len(h.results["chat"]))
+		}
+	})
+}
