An entry that starts after the store came back from an older copy learns what has left

Cause: that an upstream has left is known only to entries that were there; an entry that reads the store at its start takes what it lists.

Evidence, TestEntryStartsAfterRestore before: "100ms after the start entry-1 lists an engine that has left: true, knows of a leaving one: false", in two of three failure domains (entries of the third rely on one that knows).

The change: the answer to a starting entry's announcement, which it waits for before it reads the store, names the upstreams that are leaving and those removed within a minute, by their run. One that was removed and is listed all the same waits six seconds or for a change of its record, as in entries that were there; leaving stays. Older builds leave the field out.

Measured: the test passes for all three domains, with TestRestoredStore, TestLeftEngineReturnsWithStore, TestNewEngineIsKeptAfterRestore, TestReturnAfterOutageIsKnownToAll, TestPowerLoss and TestSimultaneousStart.

--- a/internal/process/distributor/discovery.go
+++ b/internal/process/distributor/discovery.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/grouper"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
@@ -98,6 +99,7 @@
 		return last
 	}
 	d.handleEntries(entriesOf(known.Entries))
+	d.learnLeft(known.Left)
 	if known.IsSettled {
 		d.mu.Lock()
 		d.meetDeadline = time.Time{}
@@ -106,22 +108,42 @@
 	return meeting{process: known.Process, sequence: known.Sequence}
 }
 
+// learnLeft records the upstreams that are leaving or have left, as another entry knows them.
+func (d *Distributor) learnLeft(left []wire.FleetRun) {
+	runs := make([]follower.Run, 0, len(left))
+	for _, r := range left {
+		runs = append(runs, follower.Run{ID: r.Upstream, Born: time.UnixMilli(r.BornMillis), IsListed: r.IsListed})
+	}
+	d.follower.Learn(runs)
+}
+
+// leftToWire returns the upstreams that are leaving or have left.
+func (d *Distributor) leftToWire() (left []wire.FleetRun) {
+	for _, r := range d.follower.Left() {
+		left = append(left, wire.FleetRun{Upstream: r.ID, BornMillis: r.Born.UnixMilli(), IsListed: r.IsListed})
+	}
+	return left
+}
+
 // handleMeet records a starting entry and answers with the entries that this one has heard of since its last answer.
+// The first answer names the upstreams that have left as well.
 func (d *Distributor) handleMeet(_ context.Context, m wire.FleetMeeting) (wire.FleetMeeting, error) {
 	d.handleEntries(entriesOf(m.Entries))
-	isSettled := d.follower.View().Configuration != nil
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	answer := wire.FleetMeeting{IsSettled: d.follower.View().Configuration != nil, Process: d.c.Seed}
 	byDomain := make(map[string][]string)
 	after := m.Sequence
 	if m.Process != d.c.Seed {
 		after = 0
 		byDomain[d.c.Settings.FailureDomain] = []string{d.c.Settings.PeerAddress(d.c.Settings.Address).String()}
+		answer.Left = d.leftToWire()
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for address, e := range d.entries {
 		if e.sequence > after {
 			byDomain[e.domain] = append(byDomain[e.domain], address.String())
 		}
 	}
-	return wire.FleetMeeting{Entries: grouper.List(byDomain), IsSettled: isSettled, Process: d.c.Seed, Sequence: d.entrySequence}, nil
+	answer.Entries, answer.Sequence = grouper.List(byDomain), d.entrySequence
+	return answer, nil
 }
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -101,6 +101,7 @@
 	restores       int                                       // how often the store has come back from an older copy
 	goneRuns       map[string]goneRun                        // removed upstreams, by ID
 	held           map[string]heldUpstream                   // by ID
+	leaving        map[string]time.Time                      // starts of runs that are leaving, as told by others, by ID
 }
 
 // New returns a follower with an empty view. Start begins to fill it.
@@ -117,6 +118,7 @@
 		calls:      make(map[foxtailwharf.FleetSubject]pendingCall),
 		goneRuns:   make(map[string]goneRun),
 		held:       make(map[string]heldUpstream),
+		leaving:    make(map[string]time.Time),
 	}
 }
 
--- a/internal/process/follower/list.go
+++ b/internal/process/follower/list.go
@@ -57,7 +57,8 @@
 func (f *Follower) setUpstream(u foxtailwharf.Upstream) {
 	known, isKnown := f.upstreams[u.ID]
 	// Leaving is final for a run, so that a record which says otherwise is older.
-	u.IsDraining = u.IsDraining || (isKnown && known.IsDraining && known.Born.Equal(u.Born))
+	leaving, isLeaving := f.leaving[u.ID]
+	u.IsDraining = u.IsDraining || (isKnown && known.IsDraining && known.Born.Equal(u.Born)) || (isLeaving && isSameBirth(leaving, u.Born))
 	if isKnown && isSame(known, u) {
 		return
 	}
@@ -80,10 +81,11 @@
 // removals, all are forgotten and goneFloor is raised.
 func (f *Follower) deleteUpstream(id string) {
 	f.view.Sequence++
-	f.goneRuns[id] = goneRun{born: f.upstreams[id].Born, isDraining: f.upstreams[id].IsDraining}
+	f.goneRuns[id] = goneRun{born: f.upstreams[id].Born, isDraining: f.upstreams[id].IsDraining, removedAt: f.c.Clock()}
 	delete(f.upstreams, id)
 	delete(f.graceUntil, id)
 	delete(f.changedAt, id)
+	delete(f.leaving, id)
 	f.goneAt[id] = f.view.Sequence
 	if len(f.goneAt) <= maxGone {
 		return
--- a/internal/process/follower/restore.go
+++ b/internal/process/follower/restore.go
@@ -13,16 +13,78 @@
 // back from an older copy that still has it. If it is gone, its record expires in this time.
 const holdPeriod = 6 * time.Second
 
+// toldPeriod is how long entries that start are told of a removal. Copies of the store are younger.
+const toldPeriod = time.Minute
+
 // goneRun is a run of an upstream that was removed from the list.
 type goneRun struct {
 	born       time.Time
-	isDraining bool // when it was removed
+	isDraining bool          // when it was removed
+	removedAt  time.Duration // by the clock
+}
+
+// Run is a run of an upstream that is leaving or has left.
+type Run struct {
+	ID       string
+	Born     time.Time
+	IsListed bool // is leaving and still listed
+}
+
+// Left returns the upstreams that are leaving or have been removed lately, for entries that start: the store may
+// have come back from an older copy, which lists them as ready.
+func (f *Follower) Left() (runs []Run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.c.Clock()
+	for _, u := range f.view.Upstreams {
+		if u.IsDraining {
+			runs = append(runs, Run{ID: u.ID, Born: u.Born, IsListed: true})
+		}
+	}
+	for id, gone := range f.goneRuns {
+		if now-gone.removedAt < toldPeriod {
+			runs = append(runs, Run{ID: id, Born: gone.born})
+		}
+	}
+	return runs
+}
+
+// Learn records what another entry knows of upstreams that are leaving or have left, when this entry starts. One that
+// has left waits as after a restore, if the store lists it.
+func (f *Follower) Learn(runs []Run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.c.Clock()
+	for _, r := range runs {
+		u, isListed := f.upstreams[r.ID]
+		isSameRun := isListed && isSameBirth(u.Born, r.Born)
+		_, isHeld := f.held[r.ID]
+		switch {
+		case r.IsListed:
+			f.leaving[r.ID] = r.Born
+			if isSameRun {
+				f.setUpstream(u)
+			}
+		case isSameRun:
+			f.deleteUpstream(r.ID)
+			f.held[r.ID] = heldUpstream{upstream: u, until: now + holdPeriod}
+		case !isListed && !isHeld:
+			f.goneRuns[r.ID] = goneRun{born: r.Born, removedAt: now}
+			f.held[r.ID] = heldUpstream{until: now + holdPeriod}
+		}
+	}
+	f.publish()
+}
+
+// isSameBirth reports whether two start times are of the same run. Processes tell each other milliseconds.
+func isSameBirth(a, b time.Time) bool {
+	return a.UnixMilli() == b.UnixMilli()
 }
 
 // heldUpstream is an upstream that the store lists, but that is not listed here yet.
 type heldUpstream struct {
-	upstream foxtailwharf.Upstream
-	until    time.Duration // by the clock
+	upstream foxtailwharf.Upstream // without an ID if the store has not been read
+	until    time.Duration         // by the clock
 }
 
 // holdReturned takes the upstreams out of a whole list that had been removed before the store came back
@@ -37,7 +99,7 @@
 	p.Upstreams = slices.DeleteFunc(p.Upstreams, func(u foxtailwharf.Upstream) bool {
 		gone, isGone := f.goneRuns[u.ID]
 		before, isWaiting := waiting[u.ID]
-		if !isGone || !gone.born.Equal(u.Born) || (!isRestored && !isWaiting) {
+		if !isGone || !isSameBirth(gone.born, u.Born) || (!isRestored && !isWaiting) {
 			return false
 		}
 		u.IsDraining = u.IsDraining || gone.isDraining
@@ -58,7 +120,9 @@
 	for id, h := range f.held {
 		if now >= h.until {
 			delete(f.held, id)
-			f.setUpstream(h.upstream)
+			if h.upstream.ID != "" {
+				f.setUpstream(h.upstream)
+			}
 		}
 	}
 }
--- a/standin/simulator/restore_test.go
+++ b/standin/simulator/restore_test.go
@@ -1,6 +1,8 @@
 package simulator_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,6 +91,56 @@
 	})
 }
 
+// TestEntryStartsAfterRestore guards against entries that start after the store has come back from an older copy
+// and use what the copy lists and the others know to have left.
+func TestEntryStartsAfterRestore(t *testing.T) {
+	for domain := range 3 {
+		t.Run(fmt.Sprint("entries of domain ", domain), func(t *testing.T) {
+			run(t, simulator.Config{Entries: 12, Engines: 6, Slots: 4, Events: 3}, 0, func(h *harness) { h.startAfterRestore(domain) })
+		})
+	}
+}
+
+// startAfterRestore starts the entries of a domain anew, but for the seed, after the store has come back.
+func (h *harness) startAfterRestore(domain int) {
+	older := h.Store.Copy()
+	h.Store.RemoveUpstream(h.Engines[0].ID)
+	h.Engines[1].Drain()
+	time.Sleep(5 * time.Second)
+	started := slices.DeleteFunc(slices.Clone(h.Entries[1:]), func(e *simulator.Entry) bool { return slices.Index(h.Entries, e)%3 != domain })
+	for _, e := range started {
+		e.Kill()
+	}
+	h.Store.Restore(older)
+	time.Sleep(time.Second)
+	for _, e := range started {
+		if err := e.Start(h.t.Context()); err != nil {
+			h.t.Error(err)
+		}
+	}
+	h.checkReturned(started, 4*time.Second)
+	time.Sleep(7 * time.Second)
+	for _, e := range started {
+		if !e.IsListed(h.Engines[0].ID) {
+			h.t.Errorf("%s does not list an engine that the store still lists after 12 s", e.Name)
+		}
+	}
+}
+
+// checkReturned checks for a time that entries list neither the first engine, which has left, nor the second one, which
+// is leaving, as ready.
+func (h *harness) checkReturned(entries []*simulator.Entry, length time.Duration) {
+	left, leaving := h.Engines[0].ID, h.Engines[1].ID
+	for begun := time.Now(); time.Since(begun) < length; time.Sleep(10 * time.Millisecond) {
+		for _, e := range entries {
+			if e.IsListed(left) || (e.IsListed(leaving) && !e.IsDraining(leaving)) {
+				h.t.Errorf("%s after the start %s lists an engine that has left: %t, knows of a leaving one: %t", time.Since(begun), e.Name, e.IsListed(left), e.IsDraining(leaving))
+				return
+			}
+		}
+	}
+}
+
 // TestReturnAfterOutageIsKnownToAll guards against an engine that entries which rely on another one drop
 // although its record, which expired while the store was away, has returned in time.
 func TestReturnAfterOutageIsKnownToAll(t *testing.T) {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -330,6 +330,10 @@
 	// that has just started
 	IsSettled bool `json:"IsSettled,omitempty,omitzero"`
 
+	// upstreams that are leaving or have left, which an older copy of the store may
+	// list as ready
+	Left []FleetRun `json:"Left,omitempty,omitzero"`
+
 	// the answering process; in the question, the process whose answer the asking
 	// entry has had up to Sequence, 0 for none
 	Process uint64 `json:"Process,omitempty,omitzero"`
@@ -544,6 +548,19 @@
 	Weights int64 `json:"Weights,omitempty,omitzero"`
 }
 
+// FleetRun is a run of an upstream that is leaving or has been removed from the
+// list.
+type FleetRun struct {
+	// start of the upstream's process, as a Unix time
+	BornMillis int64 `json:"BornMillis"`
+
+	// the upstream is leaving and still listed
+	IsListed bool `json:"IsListed,omitempty,omitzero"`
+
+	// ID
+	Upstream string `json:"Upstream"`
+}
+
 // FleetWarning tells another entry what is held against requests that crash
 // upstreams, and the limits that upstreams have named; the answer is an empty one.
 type FleetWarning struct {
