--- a/internal/process/grouper/grouper_test.go
+++ b/internal/process/grouper/grouper_test.go
@@ -40,12 +40,14 @@
 		t.Run(fmt.Sprint(tt.agents, " agents in ", tt.domains), func(t *testing.T) {
 			all := agents(tt.agents, tt.domains)
 			want := grouper.Candidates(all)
+			longest := 0
 			for _, receiver := range all {
 				bounded := grouper.Bound(all, receiver.Name)
 				text, err := json.Marshal(wire.FleetNotice{Digest: grouper.Digest(all), Domains: bounded})
 				if err != nil {
 					t.Fatal(err)
 				}
+				longest = max(longest, len(text))
 				if len(text) > maxNoticeBytes {
 					t.Errorf("%s gets %d bytes, want at most %d", receiver.Name, len(text), maxNoticeBytes)
 				}
@@ -56,6 +58,7 @@
 					t.Errorf("%s gets the whole list: %t, want %t", receiver.Name, isWhole, tt.isWhole)
 				}
 			}
+			t.Logf("%d bytes", longest)
 		})
 	}
 }
