A smaller limit of bodies leaves callers a second, as those of heads and idle connections do

What callers saw: beside a change of the configuration that lowers body-bytes, a body that was allowed a moment ago gets 413 at once, after which no caller sends its request again.

Cause: the limits before a change stay in force for a second where they allow more, except that of bodies, which the forwarder took from the newest configuration.

Evidence: TestBodyBesideChange, before: "have 413, want 200" 0.9 s after the change.

The forwarder takes the limit from the same rule as the connections. A body over the new limit gets 413 from 1 s after the change on, as before.

--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -28,7 +28,7 @@
 	if s == nil || s.Configuration == nil {
 		return notRunRetryAfter(foxtailwharf.ReasonNotReady, "the entry has no configuration yet", notReadyRetryAfter)
 	}
-	x.limits = s.Configuration.Limits
+	x.limits = s.limits.At(x.started)
 	var err error
 	if x.call, err = f.c.Dialect.ReadCall(r); err != nil {
 		return foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, err.Error())
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/callerlimiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/requester"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
@@ -67,10 +68,12 @@
 	random     *rand.Rand
 }
 
-// state is a view of the store with the matcher for its routes.
+// state is a view of the store with the matcher for its routes, and the limits that apply to callers beside a
+// change.
 type state struct {
 	follower.View
 	matcher *matcher.Matcher
+	limits  callerlimiter.Limits
 }
 
 // Bounds on the answers that are read whole before they are forwarded. Together they stay well below
@@ -107,13 +110,25 @@
 	case v.Configuration == nil:
 		next.matcher = matcher.New(nil)
 	case last != nil && last.Configuration == v.Configuration:
-		next.matcher = last.matcher
+		next.matcher, next.limits = last.matcher, last.limits
 	default:
-		next.matcher = matcher.New(v.Configuration.Routes)
+		next.matcher, next.limits = matcher.New(v.Configuration.Routes), nextLimits(last, v.Configuration.Limits)
 	}
 	f.state.Store(next)
 }
 
+// nextLimits returns the limits after a change of the configuration.
+func nextLimits(last *state, next foxtailwharf.CallLimits) callerlimiter.Limits {
+	next = next.Bounded()
+	if last == nil || last.Configuration == nil {
+		return callerlimiter.Limits{Current: next}
+	}
+	if last.limits.Current == next {
+		return last.limits
+	}
+	return last.limits.Changed(next, time.Now())
+}
+
 // SetRetryExtra sets how many retries in a window this entry may make in addition to the ratio.
 func (f *Forwarder) SetRetryExtra(extra float64) {
 	f.mu.Lock()
--- a/internal/request/forwarder/forwarder_test.go
+++ b/internal/request/forwarder/forwarder_test.go
@@ -239,6 +239,36 @@
 	})
 }
 
+// TestBodyBesideChange guards against bodies that are refused though their callers may know a larger limit.
+func TestBodyBesideChange(t *testing.T) {
+	tests := []struct {
+		name          string
+		before, after int64
+		elapsed       time.Duration
+		status        int
+	}{
+		{"grows", 3, 4, 0, http.StatusOK},
+		{"shrinks, within the grace period", 4, 3, 900 * time.Millisecond, http.StatusOK},
+		{"shrinks", 4, 3, 1100 * time.Millisecond, http.StatusRequestEntityTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.view.Configuration.Limits.BodyBytes = tt.before
+				b.upstream(2, text(http.StatusOK, "ok"))
+				next := *b.view.Configuration
+				next.Version, next.Limits.BodyBytes = 2, tt.after
+				b.view.Configuration = &next
+				b.update()
+				time.Sleep(tt.elapsed)
+				if a := b.call("/look/1", nil); a.status != tt.status {
+					t.Errorf("have %d, want %d", a.status, tt.status)
+				}
+			})
+		})
+	}
+}
+
 func TestBodyTooLarge(t *testing.T) {
 	run(t, func(b *bench) {
 		b.view.Configuration.Limits.BodyBytes = 3
