Documents that a restored object store has lost are written again

What operators would see, on the product's own interface: the object store comes back from an older copy; their next edit is confirmed and never in force, since its revision was given out before and every process holds it with another text.

Cause: the next revision follows from what the store holds, the processes take only higher ones.

Evidence, TestRestoredDocuments before: "the next edit is revision 3, which is not above 3, the last one".

The change: the entry that writes a document's status also looks each half minute whether the store still has the revision. If it has an older one or none, the revision is written again; if it has the same one from another write, that text becomes the next revision. Writes are conditional.

Measured: both cases pass (an edit after the check; an edit at once, in force within 40 s), with TestDocuments.

By reading, not played: a claim that a restore loses lets a keyed call run again elsewhere; no limits are read on this interface, where each agent is the only one that sends to its engine.

--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -26,6 +26,8 @@
 	retryDelay = time.Second
 	// statusInterval is the minimum time between two writes of statuses by a process.
 	statusInterval = 5 * time.Second
+	// lostInterval is the time between two checks whether the store still has the documents.
+	lostInterval = 30 * time.Second
 )
 
 // Config holds the settings and dependencies of a Watcher.
@@ -75,8 +77,14 @@
 func (w *Watcher) run(ctx context.Context, watches ...chan struct{}) {
 	defer close(w.done)
 	written := make(map[foxtailwharf.DocumentID]uint64)
+	checkedAt := time.Now()
 	for sleeper.Sleep(ctx, statusInterval) {
-		w.writeStatuses(ctx, watchers(w.c), written)
+		candidates := watchers(w.c)
+		w.writeStatuses(ctx, candidates, written)
+		if time.Since(checkedAt) >= lostInterval {
+			checkedAt = time.Now()
+			w.writeLost(ctx, candidates)
+		}
 	}
 	for _, watchDone := range watches {
 		<-watchDone
@@ -194,6 +202,55 @@
 	}
 }
 
+// writeLost writes documents again that the store has lost, since it has come back from an older copy. Otherwise an
+// operator's next write would get a revision that processes already hold with another text.
+func (w *Watcher) writeLost(ctx context.Context, candidates []string) {
+	for _, d := range w.c.Registrar.NewerThan(nil) {
+		if writer(candidates, d.ID) != w.c.Self.Name {
+			continue
+		}
+		if err := w.writeIfLost(ctx, d); err != nil {
+			w.c.Log.Debug("documents: failed to check whether the store has a revision", zap.String("Name", d.ID.Name), zap.Error(err))
+		}
+	}
+}
+
+// writeIfLost writes a document if the store has an older revision or none. If the store has given out the revision
+// twice, the second write becomes the next revision. The write is conditional: an operator who writes at the same
+// time wins.
+func (w *Watcher) writeIfLost(ctx context.Context, d foxtailwharf.Document) error {
+	old, err := w.c.Store.Get(ctx, d.ID.Kind, d.ID.Name)
+	isMissing := errors.Is(err, foxtailwharf.ErrNotFound)
+	if err != nil && !isMissing {
+		return err
+	}
+	if !isMissing {
+		stored, err := foxtailwharf.DecodeDocument(old.Value)
+		switch {
+		case err != nil:
+			return err
+		case stored.Revision > d.Revision || stored.WriteID == d.WriteID:
+			return nil
+		case stored.Revision == d.Revision:
+			d = stored
+			d.Revision++
+		}
+	}
+	value, err := d.Encode()
+	if err != nil {
+		return err
+	}
+	object := foxtailwharf.Object{Kind: d.ID.Kind, Name: d.ID.Name, Version: old.Version, Value: value}
+	if isMissing {
+		_, err = w.c.Store.Create(ctx, object)
+	} else {
+		_, err = w.c.Store.Update(ctx, object)
+	}
+	w.c.Log.Warn("documents: the store had lost a revision, which is written again", zap.String("Kind", d.ID.Kind),
+		zap.String("Name", d.ID.Name), zap.Uint64("Revision", d.Revision), zap.Error(err))
+	return err
+}
+
 // writer returns the watcher that writes the status of a document.
 func writer(candidates []string, id foxtailwharf.DocumentID) string {
 	key := id.Kind + "/" + id.Name
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -84,6 +85,28 @@
 	return p.calls
 }
 
+// PlatformCopy is a copy of the objects for Restore.
+type PlatformCopy struct {
+	objects map[string]foxtailwharf.Object
+	version uint64
+}
+
+// Copy returns a copy for Restore.
+func (p *Platform) Copy() PlatformCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return PlatformCopy{objects: maps.Clone(p.objects), version: p.version}
+}
+
+// Restore replaces the objects with an older copy. What was written since is lost, and its versions are given out
+// again.
+func (p *Platform) Restore(c PlatformCopy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects, p.version = maps.Clone(c.objects), c.version
+	p.wakeWatches()
+}
+
 func (p *Platform) wakeWatches() {
 	close(p.changed)
 	p.changed = make(chan struct{})
