--- a/standin/fleet/versions_test.go
+++ b/standin/fleet/versions_test.go
@@ -250,25 +250,15 @@
 		t.Run(fmt.Sprint("wanted version ", wanted), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t, benchConfig{})
-				setRefusing := func(isRefusing bool) {
-					for _, a := range b.f.AgentsOf("assistant") {
-						engineOf(t, a).UpdateConfig(func(c *standin.EngineConfig) { c.RefusesOrders = isRefusing })
-					}
-				}
-				setRefusing(true)
+				b.setRefusingOrders(true)
 				if wanted > 0 {
 					b.applyVersion(wanted)
 				}
 				for _, a := range b.f.AgentsOf("assistant") {
 					engineOf(t, a).ForceVersion(b.versions[2])
 				}
-				for n := range 60 {
-					if a := b.via(n % 6).chat(streamRequest(fmt.Sprint("caller ", n), 3)); a.status == http.StatusOK && a.version == b.versions[2] {
-						t.Errorf("request %d got a response from %s", n, b.versionName(a.version))
-					}
-					time.Sleep(200 * time.Millisecond)
-				}
-				setRefusing(false)
+				b.checkNoneServes(2, 12*time.Second)
+				b.setRefusingOrders(false)
 				b.await("the fleet is ready again", b.f.IsReady)
 				b.checkWeights(b.versions[wanted])
 				b.stop()
@@ -276,3 +266,23 @@
 		})
 	}
 }
+
+// setRefusingOrders makes all engines refuse orders, or take them again.
+func (b *bench) setRefusingOrders(isRefusing bool) {
+	for _, a := range b.f.AgentsOf("assistant") {
+		engineOf(b.t, a).UpdateConfig(func(c *standin.EngineConfig) { c.RefusesOrders = isRefusing })
+	}
+}
+
+// checkNoneServes sends requests through all entries for a time. None may get a response from a version.
+func (b *bench) checkNoneServes(version int, length time.Duration) {
+	b.t.Helper()
+	const pause = 200 * time.Millisecond
+	for n := range int(length / pause) {
+		a := b.via(n % len(b.f.Entries)).chat(streamRequest(fmt.Sprint("caller ", n), 3))
+		if a.status == http.StatusOK && a.version == b.versions[version] {
+			b.t.Errorf("request %d got a response from %s", n, b.versionName(a.version))
+		}
+		time.Sleep(pause)
+	}
+}
