Server: the servers of a process are a group

The entry and the agent of listed fleets each kept, closed and shut down their servers with code of their own; the agent built two of them alike. A group adds, closes and shuts down servers, and returns the first error; both agents' servers come from one function. The agent's metrics now shut down before the listener for other agents, as in an entry.

--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -75,7 +75,7 @@
 	notifier  *notifier.Notifier
 	messages  *messenger.Server
 	client    *messenger.Client
-	servers   []*server.Server
+	servers   server.Group
 	tasks     []task
 	cancel    context.CancelFunc
 	limits    *limitKeeper
@@ -222,7 +222,7 @@
 	for _, l := range listeners {
 		if err := d.serve(ctx, l); err != nil {
 			_ = socket.Close()
-			d.closeServers()
+			d.servers.Close()
 			return errors.Wrap(err, "Distributor.Start")
 		}
 	}
@@ -264,16 +264,10 @@
 	if e.limiter != nil {
 		listener = e.limiter.Limit(h, listener)
 	}
-	d.servers = append(d.servers, server.Start(listener, h, d.c.Log))
+	d.servers.Add(server.Start(listener, h, d.c.Log))
 	return nil
 }
 
-func (d *Distributor) closeServers() {
-	for _, s := range d.servers {
-		s.Close()
-	}
-}
-
 func (d *Distributor) peersMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+messenger.Path, d.messages)
@@ -370,12 +364,7 @@
 	d.isLeaving.Store(true)
 	d.forwarder.CloseConnections()
 	sleeper.Sleep(ctx, drainDelay)
-	var err error
-	for i := len(d.servers) - 1; i >= 0; i-- {
-		if shutErr := d.servers[i].Shutdown(ctx); shutErr != nil && err == nil {
-			err = errors.Wrap(shutErr, "Distributor.Stop")
-		}
-	}
+	err := errors.Wrap(d.servers.Shutdown(ctx), "Distributor.Stop")
 	d.cancel()
 	d.messages.Close()
 	d.client.Close()
--- a/internal/process/provisioner/provisioner.go
+++ b/internal/process/provisioner/provisioner.go
@@ -94,8 +94,7 @@
 	http           *http.Client
 	notifier       *notifier.Notifier
 	meter          *meter.Meter
-	server         *server.Server
-	metrics        *server.Server                 // nil if the settings have no metrics address
+	servers        server.Group
 	throttler      *throttler.Throttler           // guarded by mu
 	delayestimator *delayestimator.DelayEstimator // delays of the entries' notices; guarded by mu
 	reporter       *reporter
@@ -282,16 +281,9 @@
 		Socket: socket, Clock: p.c.Clock, OnMessage: p.handleNotice, Log: p.c.Log,
 		OnSent: func(kind notifier.Kind, bytes int) { p.meter.Add(kind.Counter(), int64(bytes)) },
 	})
-	listener, err := p.c.Network.Listen(ctx, s.PeerAddress(s.Address))
-	if err != nil {
-		_ = socket.Close()
-		return errors.Wrap(err, "Provisioner.Start")
-	}
-	h := &http.Server{Handler: p.mux(), ReadHeaderTimeout: stallTimeout, ErrorLog: zap.NewStdLog(p.c.Log)}
-	p.server = server.Start(listener, h, p.c.Log)
-	if err := p.serveMetrics(ctx); err != nil {
+	if err = p.listen(ctx); err != nil {
 		_ = socket.Close()
-		p.server.Close()
+		p.servers.Close()
 		return errors.Wrap(err, "Provisioner.Start")
 	}
 	p.notifier.Start()
@@ -302,15 +294,27 @@
 	return nil
 }
 
-// serveMetrics serves the metrics as text if the settings have an address for them.
-func (p *Provisioner) serveMetrics(ctx context.Context) error {
-	if !p.c.Settings.Metrics.IsValid() {
-		return nil
+// listen opens the listeners for other agents and, if the settings have an address for it, for metrics.
+func (p *Provisioner) listen(ctx context.Context) error {
+	s := p.c.Settings
+	if err := p.serve(ctx, s.PeerAddress(s.Address), p.mux()); err != nil || !s.Metrics.IsValid() {
+		return err
 	}
-	listener, err := p.c.Network.Listen(ctx, p.c.Settings.Metrics)
+	return p.serve(ctx, s.Metrics, p.metricsMux())
+}
+
+func (p *Provisioner) serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
+	listener, err := p.c.Network.Listen(ctx, address)
 	if err != nil {
 		return err
 	}
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: stallTimeout, ErrorLog: zap.NewStdLog(p.c.Log)}
+	p.servers.Add(server.Start(listener, h, p.c.Log))
+	return nil
+}
+
+// metricsMux serves the metrics in text format.
+func (p *Provisioner) metricsMux() http.Handler {
 	load := func(value func(foxtailwharf.UpstreamLoad) int64) func() int64 {
 		return func() int64 {
 			p.mu.Lock()
@@ -325,8 +329,7 @@
 	p.meter.Gauge("BytesUploaded", p.uploader.Sent)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", p.meter.ServeText)
-	p.metrics = server.Start(listener, &http.Server{Handler: mux, ReadHeaderTimeout: stallTimeout, ErrorLog: zap.NewStdLog(p.c.Log)}, p.c.Log)
-	return nil
+	return mux
 }
 
 func (p *Provisioner) mux() http.Handler {
@@ -389,12 +392,7 @@
 func (p *Provisioner) Stop(ctx context.Context) error {
 	p.c.Log.Info("agent: stopping")
 	p.cancel()
-	err := p.server.Shutdown(ctx)
-	if p.metrics != nil {
-		if shutErr := p.metrics.Shutdown(ctx); shutErr != nil && err == nil {
-			err = shutErr
-		}
-	}
+	err := p.servers.Shutdown(ctx)
 	p.messages.Close()
 	p.client.Close()
 	p.notifier.Close()
