--- a/standin/simulator/recovery_test.go
+++ b/standin/simulator/recovery_test.go
@@ -184,3 +184,34 @@
 		}
 	})
 }
+
+// TestListReachesLargeDomain guards against a list of upstreams that does not reach all entries of the largest failure
+// domains in time after a start, so that they turn to other entries and to the store: 57 entries and 3,400 upstreams, the
+// size to design for.
+func TestListReachesLargeDomain(t *testing.T) {
+	t.Parallel()
+	const domains, bound = 2, 1500 * time.Millisecond
+	c := largeFleet()
+	c.Entries, c.Engines, c.Domains, c.Plain = 57*domains, 4, domains, 3400
+	if isRaceDetected {
+		c.Entries = 20 * domains
+	}
+	run(t, c, 0, func(h *harness) {
+		h.endAll(false)
+		time.Sleep(600 * time.Millisecond)
+		before := h.storeCalls()
+		h.startAll(false)
+		time.Sleep(bound)
+		listed := 0
+		for _, e := range h.Entries {
+			if e.IsListed("plain-3399") {
+				listed++
+			}
+		}
+		calls, want := h.storeCalls()-before, domains*2*6
+		t.Logf("%d of %d entries have the list, %d calls to the store", listed, len(h.Entries), calls)
+		if listed != len(h.Entries) || calls > want {
+			t.Errorf("%d of %d entries have the list after %s, %d calls to the store; want all and at most %d", listed, len(h.Entries), bound, calls, want)
+		}
+	})
+}
