A call is given up before its caller leaves when its upstream has said nothing

Cause: a silent upstream is given up at 3.8 s after the call was sent, for a goal of a second, whatever the call has waited before; callers of streams leave four goals after they have sent it. Class: a limit that counts from the attempt where the caller counts from its call.

The change: the route says how long its callers wait for a part of a stream. Before the head of an answer, another upstream is sought early enough, and a call that may be repeated is given up 0.3 s before its caller leaves, but never before 1.2 s of silence; the caller gets its answer and can repeat the call. An answer that has begun is left its time as before.

--- a/configuration.go
+++ b/configuration.go
@@ -59,6 +59,7 @@
 	Timeout  time.Duration // upper limit of the time until the answer
 	Goal     time.Duration // target time until the answer or the first event of a stream
 	Gap      time.Duration // target for the longest pause between events; 0 means no target
+	Patience time.Duration // how long callers wait for the next part of a stream before they leave; 0 if unknown
 	Priority int           // 0 is the most urgent
 	Targets  []CallTarget
 	Attempts int  // maximum number of upstreams that a call may run on
--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -242,6 +242,41 @@
 	})
 }
 
+// TestCallIsGivenUpBeforeCallerLeaves guards against calls that stay with a silent upstream until their callers leave,
+// so that it runs them for nobody once it goes on. They have waited for it before.
+func TestCallIsGivenUpBeforeCallerLeaves(t *testing.T) {
+	tests := []struct {
+		path             string
+		waited, patience time.Duration
+		from, to         time.Duration
+		status           int
+	}{
+		{"/chat/1", 0, 4 * time.Second, 3500 * time.Millisecond, 4 * time.Second, http.StatusBadGateway},
+		{"/chat/1", time.Second, 4 * time.Second, 3500 * time.Millisecond, 4 * time.Second, http.StatusBadGateway},
+		{"/chat/1", 2 * time.Second, 4 * time.Second, 3500 * time.Millisecond, 4 * time.Second, http.StatusBadGateway},
+		// A sound upstream may be silent for a second or so.
+		{"/chat/1", 2 * time.Second, 3 * time.Second, 3100 * time.Millisecond, 3500 * time.Millisecond, http.StatusBadGateway},
+		// A call that may run once has nobody else.
+		{"/book/1", time.Second, 4 * time.Second, 6 * time.Second, 6100 * time.Millisecond, http.StatusGatewayTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.path, " after ", tt.waited, " of ", tt.patience), func(t *testing.T) {
+			run(t, func(b *bench) {
+				for i := range b.view.Configuration.Routes {
+					b.view.Configuration.Routes[i].Goal, b.view.Configuration.Routes[i].Patience = time.Second, tt.patience
+				}
+				b.upstream(2, silently)
+				b.assigner.HandleReply(upstreamAt(2), time.Now(), foxtailwharf.Reply{IsNotRun: true, Signals: foxtailwharf.Signals{RetryAfter: tt.waited}})
+				started := time.Now()
+				a := b.call(tt.path, nil)
+				if took := time.Since(started); a.status != tt.status || took < tt.from || took > tt.to {
+					t.Errorf("have %d after %s, want %d after %s to %s", a.status, took, tt.status, tt.from, tt.to)
+				}
+			})
+		})
+	}
+}
+
 // TestCallerOutlivesDeadUpstream guards against repeatable calls that are left at an upstream which is silent
 // for longer than a sound one: it may run them after their callers have left.
 func TestCallerOutlivesDeadUpstream(t *testing.T) {
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -20,6 +20,9 @@
 	// where the call may be repeated: no sound upstream is silent for so long, and the caller can still
 	// repeat its call.
 	patience = 1300 * time.Millisecond
+	// leaveMargin is how long before its caller leaves a call is given up whose upstream has said nothing: what the
+	// upstream may still do is of no use then, and the caller can repeat its call.
+	leaveMargin = 300 * time.Millisecond
 	// suspectSilence is how long an upstream that does not answer its agent must have been silent.
 	suspectSilence = 300 * time.Millisecond
 	// upstreamCheckInterval is the longest time between two runs of checkUpstream.
@@ -31,9 +34,9 @@
 func (a *attempt) handleSilence(ctx context.Context) {
 	switch {
 	case a.isDone.Load():
-	case !a.isSuspect.Swap(true):
+	case !a.isSuspect.Swap(true) && a.silenceLeft() > 0:
 		a.x.startBackup(ctx, a)
-		a.stallTimer.Reset(patience)
+		a.stallTimer.Reset(min(patience, a.silenceLeft()))
 	case a.x.route.IsRepeatable():
 		a.cancel(errSilent)
 	}
@@ -81,7 +84,21 @@
 // firstEventLimit returns how long the upstream may be silent before its answer begins until another one is
 // sought.
 func (a *attempt) firstEventLimit() time.Duration {
-	return max(firstEventTimeout, time.Duration(float64(a.x.route.Goal)*firstEventTimeoutGoals))
+	limit := time.Duration(float64(a.x.route.Goal) * firstEventTimeoutGoals)
+	return max(firstEventTimeout, min(limit, a.silenceLeft()))
+}
+
+// silenceLeft returns how much longer the upstream may be silent so that the call is given up before its caller
+// leaves. An answer that has begun is left the whole time.
+func (a *attempt) silenceLeft() time.Duration {
+	if a.x.progress.hasHead() {
+		return patience
+	}
+	left := time.Until(a.x.deadline)
+	if a.x.route.Patience > 0 {
+		left = min(left, time.Until(a.x.started.Add(a.x.route.Patience)))
+	}
+	return left - leaveMargin
 }
 
 // resetStallTimer restarts the stall timer after an event or a part of an answer.
