Test: the frozen entry gets its call once it knows the agent again

TestFrozen failed once at load 38 ("timed out waiting until the call runs", process_test.go:286). Trace: 1 of 48 runs side by side failed, and there the call, which the test sends once, was refused: 503, NoUpstream, NotRun true. Entry 0 had taken the agent that had been stopped for lost, and had not heard of it again when entry 1 had; the refusal is right. With the first change below 1 of 96 runs, 48 at a time at load 68, failed otherwise: "while the agent was stopped, the caller got 200": the call had ended before the signal to stop arrived.

The test now waits until entry 0 has served another call before it sends the one that must run once, and calls take a second instead of 0.3 s, so that the agent is stopped while it runs one. No check has changed. 96 runs, 32 at a time: none failed.

--- a/cmd/foxtailwharf/process_test.go
+++ b/cmd/foxtailwharf/process_test.go
@@ -267,7 +267,7 @@
 // response. Each call must run only once, and its retry must get the response of that run.
 func TestFrozen(t *testing.T) {
 	s := newTestFleet(t)
-	s.service.SetFaults(standin.ServiceFaults{Latency: 300 * time.Millisecond})
+	s.service.SetFaults(standin.ServiceFaults{Latency: time.Second})
 	agent := s.agents[len(s.agents)-1]
 	var first callResult
 	var caller sync.WaitGroup
@@ -281,6 +281,7 @@
 	agent.signal(syscall.SIGCONT)
 	s.waitUntil("the retry gets the response", func() bool { return s.reserve(1, "frozen agent").status == http.StatusOK })
 
+	s.waitUntil("the first entry knows the agent again", func() bool { return s.reserve(0, "agent is back").status == http.StatusOK })
 	var late callResult
 	caller.Go(func() { late = s.reserve(0, "frozen entry") })
 	s.waitUntil("the call runs", func() bool { return s.service.Runs("frozen entry") == 1 })
