Gossiper: entries of other failure domains are chosen without a random number

Change: the entries that an instance announces itself to, by rendezvous hash. Which entries hear of a crash first no longer changes.

--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -185,20 +185,18 @@
 // others, at most announceFanOut of each. It returns when they have answered or ctx ends.
 func (g *Gossiper) ShareBans(ctx context.Context) {
 	self := g.Self()
-	var near, far []netip.AddrPort
+	var near, far []foxtailwharf.Instance
 	for _, i := range g.Live(foxtailwharf.RoleEntry) {
 		switch {
 		case i.Incarnation == self.Incarnation:
 		case i.FailureDomain == self.FailureDomain:
-			near = append(near, i.Address)
+			near = append(near, i)
 		default:
-			far = append(far, i.Address)
+			far = append(far, i)
 		}
 	}
-	g.mu.Lock()
-	g.c.Random.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	g.mu.Unlock()
-	g.exchangeAll(ctx, slices.Concat(near[:min(len(near), announceFanOut)], far[:min(len(far), announceFanOut)]))
+	near = near[:min(len(near), announceFanOut)]
+	g.exchangeAll(ctx, addresses(slices.Concat(near, tracker.Observers(far, self, announceFanOut))))
 }
 
 // Live returns the instances of a role that are not gone. The slice is shared and must not be
