--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -43,6 +43,7 @@
 	// roles are as of updatedAt. All bans are sent at the same time.
 	roles     entryRoles
 	updatedAt time.Time
+	known     map[netip.AddrPort]bool // other entries at the last interval
 }
 
 func (s *banSender) run(ctx context.Context) {
@@ -51,8 +52,9 @@
 		if time.Since(s.updatedAt) >= resendInterval {
 			s.updatedAt = time.Now()
 			s.roles = s.d.rolesOfEntries()
-			s.resendBans(ctx)
+			s.known = nil
 		}
+		s.resendBans(ctx, s.newEntries())
 		s.d.shareBans(ctx)
 		s.shareEvidence(ctx)
 	}
@@ -156,9 +158,19 @@
 	}
 }
 
-// resendBans sends all bans that are in force to all other entries, if this entry is one that decides.
-func (s *banSender) resendBans(ctx context.Context) {
-	if s.roles.own == isolator.RoleNone {
+// newEntries returns the other entries that were not known at the last interval.
+func (s *banSender) newEntries() []netip.AddrPort {
+	entries, known := s.d.otherEntries(), s.known
+	s.known = make(map[netip.AddrPort]bool, len(entries))
+	for _, e := range entries {
+		s.known[e] = true
+	}
+	return slices.DeleteFunc(entries, func(e netip.AddrPort) bool { return known[e] })
+}
+
+// resendBans sends all bans that are in force to some entries, if this entry is one that decides.
+func (s *banSender) resendBans(ctx context.Context, to []netip.AddrPort) {
+	if s.roles.own == isolator.RoleNone || len(to) == 0 {
 		return
 	}
 	f := s.d.forwarder
@@ -167,8 +179,8 @@
 		return
 	}
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
-	for _, to := range s.d.otherEntries() {
-		warnings[to] = warning
+	for _, entry := range to {
+		warnings[entry] = warning
 	}
 	s.d.warn(ctx, warnings)
 }
