Test: pauses of the machine are no silences of upstreams where tests use TCP

TestCutAnswer/length_over_TCP failed once (race detector, load over 30): "502 after 2 runs, want the answer of the second". Trace: such a call gets 502 once its second upstream has been silent for 2.5 s, and over TCP the time is real. Shown by pausing the process itself with SIGSTOP for 1.35 and 1.45 s by turns: 1 of 6 runs failed with a status 502 in the same test (script_test.go:118, the call that opens a connection); 40 runs, 20 at a time at load 67, did not.

These tests are about answers that are cut, not about silence, and nothing of theirs is silent: their routes have goals, pauses and timeouts of 20 s and more now. No check has changed.

--- a/internal/request/forwarder/tcp_test.go
+++ b/internal/request/forwarder/tcp_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -37,10 +38,18 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", port)
 }
 
+// slowMachine is a pause of the process that is no silence of an upstream. TCP has no fake time.
+const slowMachine = 20 * time.Second
+
 // runTCP runs a scenario with connections of TCP.
 func runTCP(t *testing.T, scenario func(b *bench)) {
 	t.Helper()
 	b := newBench(t, &loopback{ports: make(map[netip.AddrPort]string)})
+	for i := range b.view.Configuration.Routes {
+		r := &b.view.Configuration.Routes[i]
+		r.Goal, r.Gap, r.Timeout = slowMachine, slowMachine, 3*slowMachine
+	}
+	b.update()
 	scenario(b)
 	b.close()
 }
