Distributor: a view that is newer than the list of agents ends no entry

What callers would see: an entry that ends by itself (a nil pointer) when a configuration takes an engine service away, or makes it a plain one, between two lines of a round of notices. Found by reading; the moment is too short for a test, and none plays it.

Cause: notify takes the view first and the list of agents that was made of an older or a newer one after it. A service of the list that has no engine in the view is left out of the round now.

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -72,6 +72,9 @@
 	interval := noticeInterval
 	far := d.farRound(time.Now(), v)
 	for service, list := range published {
+		if v.Configuration.Services[service].Engine == nil {
+			continue // the view is newer than the list
+		}
 		notice := d.notice(v, service)
 		notice.Digest = list.digest
 		if notice.Release > 0 && notice.AgeMillis < urgentPeriod.Milliseconds() {
