Test: refusals before the whole body are not judged by the speed of the machine

TestRefusalBeforeWholeBody and TestTooLargeBodyIsRefused failed once (race detector, load 36). Trace: 16 copies side by side at load 53, 15 failed: nearly all "status 503, want 413" of bodies in chunks over 2 s: the call's deadline of 6 s had passed before the body was there, which is a refusal as it should be; and five broken pipes of callers with `Expect: 100-continue` that had not begun their body within the second that the discarder gives them.

The deadline plays no part in these tests, which have others for it; their routes get a minute. The second of grace stays: on a machine that is slower still, these callers can miss it.

--- a/internal/request/forwarder/tcp_test.go
+++ b/internal/request/forwarder/tcp_test.go
@@ -41,14 +41,19 @@
 // slowMachine is a pause of the process that is no silence of an upstream. TCP has no fake time.
 const slowMachine = 20 * time.Second
 
-// runTCP runs a scenario with connections of TCP.
-func runTCP(t *testing.T, scenario func(b *bench)) {
-	t.Helper()
-	b := newBench(t, &loopback{ports: make(map[netip.AddrPort]string)})
+// allowSlowMachine gives the routes goals, pauses and timeouts that a slow machine keeps.
+func (b *bench) allowSlowMachine() {
 	for i := range b.view.Configuration.Routes {
 		r := &b.view.Configuration.Routes[i]
 		r.Goal, r.Gap, r.Timeout = slowMachine, slowMachine, 3*slowMachine
 	}
+}
+
+// runTCP runs a scenario with connections of TCP.
+func runTCP(t *testing.T, scenario func(b *bench)) {
+	t.Helper()
+	b := newBench(t, &loopback{ports: make(map[netip.AddrPort]string)})
+	b.allowSlowMachine()
 	b.update()
 	scenario(b)
 	b.close()
--- a/internal/request/forwarder/unread_test.go
+++ b/internal/request/forwarder/unread_test.go
@@ -142,6 +142,7 @@
 	b := newBench(t, newMemoryNetwork())
 	t.Cleanup(b.close)
 	b.view.Configuration.Limits.BodyBytes = unreadLimit
+	b.allowSlowMachine()
 	if tt.change != nil {
 		tt.change(b)
 	}
