Distributor and follower: names for what agents and entries have reported

A newcomer's reading of this landing's diff stopped at heardEntries, hearEntries and toldPeriod: they are reportedEntries, updateReported and removalPeriod now.

--- a/internal/process/distributor/agents.go
+++ b/internal/process/distributor/agents.go
@@ -177,30 +177,30 @@
 	revision uint64 // store revision of the list
 }
 
-// heardEntries is the list of entries that an agent last reported to hear.
-type heardEntries struct {
+// reportedEntries is the list of entries that an agent last reported.
+type reportedEntries struct {
 	digest string
 	list   []listedEntry
 }
 
-// heardDigest returns the digest of the list of entries that an agent last reported; empty for none.
-func (d *Distributor) heardDigest(agent netip.Addr) string {
+// reportedDigest returns the digest of the list of entries that an agent last reported; empty for none.
+func (d *Distributor) reportedDigest(agent netip.Addr) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.heard[agent].digest
+	return d.reported[agent].digest
 }
 
-// hearEntries returns the entries that a report lists, or those of the same digest that its agent listed before.
-func (d *Distributor) hearEntries(from netip.Addr, report wire.FleetReport) []listedEntry {
+// updateReported returns the entries that a report lists, or those of the same digest that its agent listed before.
+func (d *Distributor) updateReported(from netip.Addr, report wire.FleetReport) []listedEntry {
 	list := entriesOf(report.Entries)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(list) > 0 {
-		d.heard[from] = heardEntries{digest: report.EntriesDigest, list: list}
+		d.reported[from] = reportedEntries{digest: report.EntriesDigest, list: list}
 		return list
 	}
-	if heard := d.heard[from]; report.EntriesDigest != "" && heard.digest == report.EntriesDigest {
-		return heard.list
+	if last := d.reported[from]; report.EntriesDigest != "" && last.digest == report.EntriesDigest {
+		return last.list
 	}
 	return nil
 }
@@ -221,7 +221,7 @@
 		notice.Domains = grouper.Bound(domains, u.FailureDomain)
 		kind = kindAgents
 	}
-	notice.EntriesDigest = d.heardDigest(u.Address.Addr())
+	notice.EntriesDigest = d.reportedDigest(u.Address.Addr())
 	d.notifier.Send(d.kind(kind, u.FailureDomain), notice, d.c.Settings.PeerAddress(u.Address.Addr()))
 }
 
@@ -290,7 +290,7 @@
 	d.lists[from.Addr()] = agentList{digest: report.Digest, revision: report.ListRevision}
 	d.mu.Unlock()
 	d.answerReport(from, report)
-	d.handleEntries(d.hearEntries(from.Addr(), report))
+	d.handleEntries(d.updateReported(from.Addr(), report))
 	if report.Release > 0 {
 		newest := wire.NamedRelease{Version: report.Release, AgeMillis: report.ReleaseAgeMillis}
 		d.mergeReleases(report.Model, timekeeper.FromList(arrived, newest, report.Earlier, report.HasEarlier))
--- a/internal/process/distributor/agents_test.go
+++ b/internal/process/distributor/agents_test.go
@@ -75,7 +75,7 @@
 			if have := len(d.otherEntries()); have != tt.want {
 				t.Errorf("%d entries are known, want %d", have, tt.want)
 			}
-			if have := d.heardDigest(netip.MustParseAddr("10.2.0.1")); have != tt.digest {
+			if have := d.reportedDigest(netip.MustParseAddr("10.2.0.1")); have != tt.digest {
 				t.Errorf("digest %q is known, want %q", have, tt.digest)
 			}
 		})
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -91,12 +91,12 @@
 	lastProof, catchUpUntil time.Duration
 	// hasReleases is set once the releases have been read from the store.
 	hasReleases    bool
-	agents         []foxtailwharf.Upstream     // upstreams with an engine, of all services
-	published      map[string]publishedList    // the same by service, as the agents get it
-	chosen         []foxtailwharf.Upstream     // agents with which this entry exchanges messages
-	lists          map[netip.Addr]agentList    // list that each agent last reported
-	lackingSince   map[netip.Addr]time.Time    // since when agents lack the list of agents
-	heard          map[netip.Addr]heardEntries // entries that each agent last listed
+	agents         []foxtailwharf.Upstream        // upstreams with an engine, of all services
+	published      map[string]publishedList       // the same by service, as the agents get it
+	chosen         []foxtailwharf.Upstream        // agents with which this entry exchanges messages
+	lists          map[netip.Addr]agentList       // list that each agent last reported
+	lackingSince   map[netip.Addr]time.Time       // since when agents lack the list of agents
+	reported       map[netip.Addr]reportedEntries // entries that each agent last listed
 	farNotices     farNotices
 	delayestimator *delayestimator.DelayEstimator // delays of the agents' reports
 	fullLinks      map[netip.Addr]bool            // machines whose links are saturated, for the log
@@ -128,7 +128,7 @@
 		timekeeper:     timekeeper.New(timekeeper.Config{Switch: c.Settings.Switch}),
 		lists:          make(map[netip.Addr]agentList),
 		lackingSince:   make(map[netip.Addr]time.Time),
-		heard:          make(map[netip.Addr]heardEntries),
+		reported:       make(map[netip.Addr]reportedEntries),
 		delayestimator: delayestimator.New(),
 		fullLinks:      make(map[netip.Addr]bool),
 		notifyNow:      make(chan struct{}, 1),
--- a/internal/process/distributor/farnotices.go
+++ b/internal/process/distributor/farnotices.go
@@ -19,7 +19,7 @@
 	// minFreeFraction is the fraction of the slots of the own domain's engines below which free ones count as few.
 	minFreeFraction = 0.5
 	// maxFarInterval is the longest time between two notices to an agent on standby. In small domains it is shorter: they
-	// have one entry or a few that hear of an agent.
+	// have one entry or a few that get the reports of an agent.
 	maxFarInterval = 3 * time.Second
 	// entriesPerInterval is the number of entries of a domain for which the time grows by noticeInterval.
 	entriesPerInterval = 4
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -101,7 +101,7 @@
 	restores       int                                       // how often the store has come back from an older copy
 	goneRuns       map[string]goneRun                        // removed upstreams, by ID
 	held           map[string]heldUpstream                   // by ID
-	leaving        map[string]time.Time                      // starts of runs that are leaving, as told by others, by ID
+	leaving        map[string]time.Time                      // starts of runs that are leaving, as other entries have reported, by ID
 }
 
 // New returns a follower with an empty view. Start begins to fill it.
--- a/internal/process/follower/restore.go
+++ b/internal/process/follower/restore.go
@@ -13,8 +13,8 @@
 // back from an older copy that still has it. If it is gone, its record expires in this time.
 const holdPeriod = 6 * time.Second
 
-// toldPeriod is how long entries that start are told of a removal. Copies of the store are younger.
-const toldPeriod = time.Minute
+// removalPeriod is how long an entry names a removed upstream to entries that start. Copies of the store are younger.
+const removalPeriod = time.Minute
 
 // goneRun is a run of an upstream that was removed from the list.
 type goneRun struct {
@@ -42,7 +42,7 @@
 		}
 	}
 	for id, gone := range f.goneRuns {
-		if now-gone.removedAt < toldPeriod {
+		if now-gone.removedAt < removalPeriod {
 			runs = append(runs, Run{ID: id, Born: gone.born})
 		}
 	}
