Observability: whole requests under suspicion are logged, and counters come before histograms

Change: a line for each upstream that ends with a request in flight, with the number of crashes that count and why none does; the metrics page has counters and gauges first. No decision changes.

--- a/internal/process/meter/text.go
+++ b/internal/process/meter/text.go
@@ -16,13 +16,15 @@
 
 // sample is one line of the text format.
 type sample struct {
-	name   string
-	labels string // formatted, in braces; empty for none
-	value  string
+	name        string
+	labels      string // formatted, in braces; empty for none
+	value       string
+	isHistogram bool
 }
 
 // ServeText serves all metrics as text, one line per value: name, labels, value. A histogram has a
-// line for each quantile, for the number of durations and for the longest one kept.
+// line for each quantile, for the number of durations and for the longest one kept. Histograms come last: they
+// are long, and a reader that keeps the first kilobytes alone needs the counters.
 func (m *Meter) ServeText(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	if err := m.writeText(w); err != nil {
@@ -37,7 +39,7 @@
 		samples = append(samples, samplesOf(name, metric)...)
 	})
 	slices.SortFunc(samples, func(a, b sample) int {
-		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.labels, b.labels))
+		return cmp.Or(compareBools(a.isHistogram, b.isHistogram), cmp.Compare(a.name, b.name), cmp.Compare(a.labels, b.labels))
 	})
 	for _, s := range samples {
 		if _, err := fmt.Fprintf(w, "%s%s %s\n", s.name, s.labels, s.value); err != nil {
@@ -47,6 +49,18 @@
 	return nil
 }
 
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // samplesOf returns the lines of one metric; none for an unknown type.
 func samplesOf(name string, metric any) []sample {
 	switch m := metric.(type) {
@@ -69,11 +83,11 @@
 	}
 	series := fmt.Sprintf("Account=%q,Rank=%q", parts[1], parts[2])
 	for i, value := range h.Percentiles(quantiles) {
-		samples = append(samples, sample{name: parts[0], labels: fmt.Sprintf("{%s,Quantile=%q}", series, fmt.Sprint(quantiles[i])), value: fmt.Sprintf("%.0f", value)})
+		samples = append(samples, sample{name: parts[0], labels: fmt.Sprintf("{%s,Quantile=%q}", series, fmt.Sprint(quantiles[i])), value: fmt.Sprintf("%.0f", value), isHistogram: true})
 	}
 	return append(samples,
-		sample{name: parts[0] + "Count", labels: "{" + series + "}", value: fmt.Sprint(h.Count())},
-		sample{name: parts[0] + "Max", labels: "{" + series + "}", value: fmt.Sprint(h.Max())})
+		sample{name: parts[0] + "Count", labels: "{" + series + "}", value: fmt.Sprint(h.Count()), isHistogram: true},
+		sample{name: parts[0] + "Max", labels: "{" + series + "}", value: fmt.Sprint(h.Max()), isHistogram: true})
 }
 
 // label formats a single label; it returns an empty string if the value is empty.
--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -91,9 +91,11 @@
 // call is retried.
 func (f *Forwarder) recordCrash(ctx context.Context, upstream foxtailwharf.Upstream, digest string) {
 	f.mu.Lock()
-	f.quarantine.RecordCrash(f.evidenceTime(), incarnation(upstream), digest)
-	isRepeated := len(f.quarantine.CrashedUpstreams(digest)) > 1
+	v := f.quarantine.RecordCrash(f.evidenceTime(), incarnation(upstream), digest)
+	isRepeated := v.Crashes > 1
 	f.mu.Unlock()
+	f.c.Log.Info("quarantine: an upstream ended with a request in flight", zap.String("Digest", digest), zap.String("Upstream", upstream.ID),
+		zap.Int("Crashes", v.Crashes), zap.Int("RecentCrashes", v.Recent), zap.Bool("IsMassFailure", v.IsMassFailure), zap.Bool("IsBanned", v.IsBanned))
 	if isRepeated {
 		f.c.ShareBans(ctx)
 	}
--- a/internal/request/quarantiner/quarantiner.go
+++ b/internal/request/quarantiner/quarantiner.go
@@ -83,20 +83,33 @@
 	return &Quarantiner{c: c, suspects: make(map[string]*suspect), bans: make(map[string]*ban), unsent: make(map[string]bool), unsentMet: make(map[string]bool)}
 }
 
+// Verdict is what follows from a crash for the request that was in flight.
+type Verdict struct {
+	Crashes       int  // that count against the request
+	Recent        int  // crashes of any upstreams that count as simultaneous
+	IsMassFailure bool // none of these counts as evidence
+	IsBanned      bool
+}
+
 // RecordCrash records that an upstream died with a request in flight. The parameter upstream
 // must be different for each incarnation.
-func (q *Quarantiner) RecordCrash(now time.Time, upstream, digest string) {
+func (q *Quarantiner) RecordCrash(now time.Time, upstream, digest string) Verdict {
 	q.expire(now)
 	q.recordCrash(now, upstream, digest)
 	if q.isMassFailure(digest) {
 		q.retract()
-		return
+		return q.verdict(digest, true)
 	}
 	q.addEvidence(now, upstream, digest)
 	q.unsent[digest] = true
 	if len(q.CrashedUpstreams(digest)) >= q.c.CrashesToBan {
 		q.bans[digest] = &ban{until: now.Add(q.c.Time), crashedAt: now}
 	}
+	return q.verdict(digest, false)
+}
+
+func (q *Quarantiner) verdict(digest string, isMassFailure bool) Verdict {
+	return Verdict{Crashes: len(q.CrashedUpstreams(digest)), Recent: len(q.crashes), IsMassFailure: isMassFailure, IsBanned: q.bans[digest] != nil}
 }
 
 // addEvidence counts a crash against a request, once for each incarnation.
