--- a/standin/simulator/banlength_test.go
+++ b/standin/simulator/banlength_test.go
@@ -45,6 +45,12 @@
 	})
 }
 
+// setBody replaces the body of a request.
+func setBody(r *http.Request, body string) {
+	r.Body = io.NopCloser(strings.NewReader(body))
+	r.ContentLength = int64(len(body))
+}
+
 // TestRequestBanIsKeptByAll guards against a ban of a whole request that lasts at the entry that meets it and
 // ends at the others.
 func TestRequestBanIsKeptByAll(t *testing.T) {
@@ -54,8 +60,7 @@
 		met := slices.MinFunc(h.Entries, compareRanks) // does not decide
 		send := func(entry *simulator.Entry) {
 			h.callWith(entry, "summary", simulator.Key, 800, func(r *http.Request) {
-				r.Body = io.NopCloser(strings.NewReader(crasher))
-				r.ContentLength = int64(len(crasher))
+				setBody(r, crasher)
 				r.Header.Set(standin.HeaderCall, crasher)
 			})
 		}
--- a/standin/simulator/harness_test.go
+++ b/standin/simulator/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,7 +14,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/refuser"
 	"github.com/foxtailwharf/foxtailwharf/standin"
 	"github.com/foxtailwharf/foxtailwharf/standin/simulator"
 )
@@ -60,6 +63,7 @@
 	ended   time.Time
 	// retryAfter is when the caller of a refused call should come back; 0 for never.
 	retryAfter time.Duration
+	reason     foxtailwharf.Reason // of a refusal
 }
 
 func run(t *testing.T, c simulator.Config, emptyEngines int, scenario func(h *harness)) {
@@ -141,7 +145,11 @@
 		if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 			res.retryAfter = time.Duration(seconds * float64(time.Second))
 		}
-		res.isWhole = h.readEvents(response, id, &res)
+		if response.StatusCode == http.StatusOK {
+			res.isWhole = h.readEvents(response, id, &res)
+		} else {
+			res.reason = readReason(response)
+		}
 		_ = response.Body.Close()
 	}
 	res.ended = time.Now()
@@ -151,6 +159,15 @@
 	return res
 }
 
+// readReason returns the reason of a refusal; empty for an answer that is none.
+func readReason(response *http.Response) foxtailwharf.Reason {
+	var problem refuser.Problem
+	if err := json.NewDecoder(response.Body).Decode(&problem); err != nil {
+		return ""
+	}
+	return foxtailwharf.Reason(problem.Reason)
+}
+
 // readEvents reads a stream and reports whether it is whole. The test fails on events of another
 // call or out of order.
 func (h *harness) readEvents(response *http.Response, id string, res *result) bool {
