--- a/internal/process/distributor/bansender.go
+++ b/internal/process/distributor/bansender.go
@@ -14,7 +14,6 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
@@ -31,9 +30,6 @@
 	resendInterval = time.Second
 	// warnTimeout limits the wait for other entries to receive a warning.
 	warnTimeout = 150 * time.Millisecond
-	// maxWarnBans is the number of bans in one warning. Resets of many connections look like
-	// many crashes, and each warning goes to all entries.
-	maxWarnBans = 16
 )
 
 // banSender sends this entry's new bans to the other entries.
@@ -100,35 +96,27 @@
 	return d.meter.Counter(meter.CounterWarnings)
 }
 
-// shareBans sends new bans to all other entries and waits until they have them, so that the same request
-// does not crash further upstreams through another entry meanwhile. A single crash is no reason to hurry, and only
-// the entries that decide are told of it.
+// shareBans tells all other entries of requests that have crashed several upstreams, and waits until they know, so that
+// such a request does not crash further upstreams through another entry meanwhile. A single crash is no reason to
+// hurry.
 func (d *Distributor) shareBans(ctx context.Context) {
-	bans := quarantiner.ToWire(d.forwarder.TakeUnsentBans(maxWarnBans))
-	if len(bans) == 0 {
+	warning := isolator.ToWire(d.forwarder.TakeUrgent())
+	if len(warning.Breaks) == 0 {
 		return
 	}
-	r := d.rolesOfEntries()
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
-	isUrgent := func(ban wire.Quarantine) bool { return len(ban.Upstreams) > 1 || ban.RemainingMillis > 0 }
-	if slices.ContainsFunc(bans, isUrgent) {
-		for _, to := range d.otherEntries() {
-			warnings[to] = wire.FleetWarning{Bans: slices.DeleteFunc(slices.Clone(bans), func(ban wire.Quarantine) bool { return !isUrgent(ban) })}
-		}
-	}
-	for _, to := range r.deciding {
-		warnings[to] = wire.FleetWarning{Bans: bans}
+	for _, to := range d.otherEntries() {
+		warnings[to] = warning
 	}
 	d.warn(ctx, warnings)
 }
 
-// shareEvidence sends the other entries what this one has found out about parts of prompts that crash
-// engines. Most concerns the entries that decide. They tell those of their failure domain all that they have heard of
+// shareEvidence sends the other entries what this one has found out about requests and parts of prompts that crash
+// upstreams. Most concerns the entries that decide. They tell those of their failure domain all that they have heard of
 // crashes, so that these can prove parts sound; that is one message for what many entries have seen.
 func (s *banSender) shareEvidence(ctx context.Context) {
 	evidence := s.d.forwarder.Isolate(s.roles.own)
 	warning := isolator.ToWire(evidence)
-	met := quarantiner.ToWire(s.d.forwarder.TakeUnsentMet())
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
 	if len(warning.PartBans) > 0 || evidence.IsLifting {
 		rest := wire.FleetWarning{PartBans: warning.PartBans}
@@ -146,9 +134,8 @@
 			warnings[to] = w
 		}
 	}
-	warning.Bans = met
 	warning.PartBans = append(warning.PartBans, isolator.BansToWire(evidence.Met)...)
-	if len(warning.Crashes)+len(warning.Proofs)+len(warning.PartBans)+len(warning.Bans) > 0 {
+	if len(warning.Crashes)+len(warning.Breaks)+len(warning.Proofs)+len(warning.PartBans) > 0 {
 		for _, to := range s.roles.deciding {
 			warnings[to] = warning
 		}
@@ -173,9 +160,8 @@
 	if s.roles.own == isolator.RoleNone || len(to) == 0 {
 		return
 	}
-	f := s.d.forwarder
-	warning := wire.FleetWarning{Bans: quarantiner.ToWire(f.Bans(maxWarnBans)), PartBans: isolator.BansToWire(f.PartBans())}
-	if len(warning.Bans)+len(warning.PartBans) == 0 {
+	warning := wire.FleetWarning{PartBans: isolator.BansToWire(s.d.forwarder.Bans())}
+	if len(warning.PartBans) == 0 {
 		return
 	}
 	warnings := make(map[netip.AddrPort]wire.FleetWarning)
@@ -185,7 +171,7 @@
 	s.d.warn(ctx, warnings)
 }
 
-// decidersPerDomain is the number of entries of a failure domain that decide on bans of parts of prompts.
+// decidersPerDomain is the number of entries of a failure domain that decide on bans.
 // Each domain has its own, for when it is cut off, and more than one, since one may have ended or stand
 // still.
 const decidersPerDomain = 2
@@ -233,9 +219,6 @@
 
 // handleWarn records the bans and the evidence of another entry.
 func (d *Distributor) handleWarn(_ context.Context, warning wire.FleetWarning) (wire.FleetWarning, error) {
-	for _, ban := range quarantiner.FromWire(warning.Bans) {
-		d.forwarder.MergeBan(ban)
-	}
 	d.forwarder.MergeEvidence(isolator.FromWire(warning))
 	for _, l := range warning.Limits {
 		d.learnLimit(limitFromWire(l))
--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -207,7 +207,7 @@
 		}
 	}
 	answer.Named = d.allNamedReleases()
-	answer.PartBans = isolator.BansToWire(d.forwarder.PartBans())
+	answer.PartBans = isolator.BansToWire(d.forwarder.Bans())
 	answer.Releases, err = pack(v.Releases)
 	return answer, err
 }
--- a/internal/process/gossiper/answer.go
+++ b/internal/process/gossiper/answer.go
@@ -19,13 +19,13 @@
 		g.c.UpdateLoad(from.Incarnation, foxtailwharf.LoadFromWire(request.Load))
 	}
 	if g.c.SharedState != nil {
-		g.c.SharedState.MergeBans(request.Quarantines)
+		g.mergeEvidence(request.Evidence)
 	}
 	reply = g.members(from, request)
 	g.addDocuments(request, &reply)
 	if g.c.SharedState != nil && from.Role == foxtailwharf.RoleEntry {
 		reply.Usage = g.c.SharedState.Usage()
-		reply.Quarantines = g.c.SharedState.Bans()
+		reply.Evidence = g.evidence()
 	}
 	return reply, nil
 }
--- a/internal/process/gossiper/exchange.go
+++ b/internal/process/gossiper/exchange.go
@@ -69,7 +69,7 @@
 		request.Load = g.c.Load().ToWire()
 	}
 	if g.c.SharedState != nil {
-		request.Quarantines = g.c.SharedState.Bans()
+		request.Evidence = g.evidence()
 	}
 	return request
 }
@@ -94,7 +94,22 @@
 	g.applyMembers(peer, reply)
 	if g.c.SharedState != nil {
 		g.c.SharedState.MergeUsage(reply.Epoch, reply.Usage)
-		g.c.SharedState.MergeBans(reply.Quarantines)
+		g.mergeEvidence(reply.Evidence)
+	}
+}
+
+// evidence returns what is held against requests that crash upstreams; nil for nothing.
+func (g *Gossiper) evidence() *wire.FleetWarning {
+	w := g.c.SharedState.Evidence()
+	if len(w.Breaks)+len(w.PartBans) == 0 {
+		return nil
+	}
+	return &w
+}
+
+func (g *Gossiper) mergeEvidence(w *wire.FleetWarning) {
+	if w != nil {
+		g.c.SharedState.MergeEvidence(*w)
 	}
 }
 
--- a/internal/process/gossiper/gossiper.go
+++ b/internal/process/gossiper/gossiper.go
@@ -53,8 +53,9 @@
 type SharedState interface {
 	Usage() []wire.Usage
 	MergeUsage(peer string, usage []wire.Usage)
-	Bans() []wire.Quarantine
-	MergeBans(bans []wire.Quarantine)
+	// Evidence returns what is held against requests that crash upstreams, and the bans.
+	Evidence() wire.FleetWarning
+	MergeEvidence(w wire.FleetWarning)
 }
 
 // Config holds the dependencies and settings of a Gossiper.
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -30,7 +30,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/request/admitter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/budgeter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/claimer"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/relayer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/router"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/ticketer"
@@ -149,7 +149,6 @@
 			MaxDelay:  maxRetryDelay,
 			Random:    r.random("retries"),
 		},
-		Quarantine:     quarantiner.Config{},
 		Claimer:        claimer.New(claimer.Config{Store: r.platform}),
 		Meter:          r.meter,
 		MaxAnswerBytes: s.MaxAnswerBytes,
@@ -235,21 +234,21 @@
 
 // Status is an entry's view of the fleet, served as JSON under /statusz.
 type Status struct {
-	Self        foxtailwharf.Instance
-	Documents   []registrar.Status
-	Entries     []foxtailwharf.Instance
-	Agents      []foxtailwharf.Instance
-	Quarantines []quarantiner.Ban
+	Self       foxtailwharf.Instance
+	Documents  []registrar.Status
+	Entries    []foxtailwharf.Instance
+	Agents     []foxtailwharf.Instance
+	Suspicions []isolator.Suspicion
 }
 
 // Status returns the entry's current view of the fleet.
 func (r *Receiver) Status() Status {
 	return Status{
-		Self:        r.gossiper.Self(),
-		Documents:   r.registrar.Statuses(),
-		Entries:     r.gossiper.Live(foxtailwharf.RoleEntry),
-		Agents:      r.gossiper.Live(foxtailwharf.RoleAgent),
-		Quarantines: r.relayer.Bans(),
+		Self:       r.gossiper.Self(),
+		Documents:  r.registrar.Statuses(),
+		Entries:    r.gossiper.Live(foxtailwharf.RoleEntry),
+		Agents:     r.gossiper.Live(foxtailwharf.RoleAgent),
+		Suspicions: r.relayer.Suspicions(),
 	}
 }
 
--- a/internal/process/receiver/sharedstate.go
+++ b/internal/process/receiver/sharedstate.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf/internal/request/admitter"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
@@ -37,14 +37,12 @@
 	s.r.admitter.UpdatePeer(time.Now(), peer, received)
 }
 
-// Bans returns the evidence against suspected and quarantined requests, for other entries.
-func (s *sharedState) Bans() []wire.Quarantine {
-	return quarantiner.ToWire(s.r.relayer.Bans())
+// Evidence returns what is held against requests that crash upstreams, and the bans, for other entries.
+func (s *sharedState) Evidence() wire.FleetWarning {
+	return isolator.ToWire(s.r.relayer.Evidence())
 }
 
-// MergeBans merges the evidence of another entry, and its bans.
-func (s *sharedState) MergeBans(bans []wire.Quarantine) {
-	for _, ban := range quarantiner.FromWire(bans) {
-		s.r.relayer.MergeBan(ban)
-	}
+// MergeEvidence merges the evidence of another entry, and its bans.
+func (s *sharedState) MergeEvidence(w wire.FleetWarning) {
+	s.r.relayer.MergeEvidence(isolator.FromWire(w))
 }
--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -4,12 +4,14 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/matcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
 )
@@ -124,7 +126,8 @@
 		x.f.c.Log.Debug("call: connection of the caller has no read deadline", zap.Error(err))
 	}
 	x.call.Body = data
-	x.digest = foxtailwharf.Digest([]byte(x.service.Name + "\n" + x.account + "\n" + x.call.Method + "\n" + x.call.Target + "\n" + string(data)))
+	x.request = isolator.Request(foxtailwharf.Digest([]byte(x.service.Name + "\n" + x.account + "\n" + x.call.Method + "\n" + x.call.Target + "\n" + string(data))))
+	x.suspects = append(slices.Clone(x.call.PromptParts), x.request)
 	if remaining := x.f.meetBan(x); remaining > 0 {
 		return quarantined(remaining)
 	}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -194,7 +194,7 @@
 	isEnded := errors.Is(context.Cause(ctx), errUpstreamEnded) || (ctx.Err() == nil && errors.As(err, &failure) && failure.IsBroken)
 	if isEnded && !a.x.f.c.Assigner.IsLoading(a.upstream) {
 		a.suspectCrash()
-		a.x.f.recordCrash(context.WithoutCancel(ctx), a.upstream, a.x.digest)
+		a.x.f.recordCrash(context.WithoutCancel(ctx), a.upstream, a.x, a.hasEvent.Load())
 	}
 	if errors.Is(context.Cause(ctx), errStalled) || errors.Is(context.Cause(ctx), errSilent) {
 		return unknown, balancer.Stalled
@@ -261,7 +261,7 @@
 	if a.answer.Status < http.StatusMultipleChoices {
 		a.begin()
 	}
-	a.x.f.clearSuspicion(a.x.digest)
+	a.x.f.clearSuspicion(a.x.request)
 	return delivered, balancer.Answered
 }
 
--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -1,9 +1,7 @@
 package forwarder
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
@@ -12,7 +10,6 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 )
 
 // confirmTime is how long a broken connection to an engine may stay unexplained before it counts as no
@@ -20,9 +17,8 @@
 // or another entry tells.
 const confirmTime = 5 * time.Second
 
-// errQuarantined is the cause with which a call is cancelled that has a banned part in its prompt and has
-// not begun to be answered.
-var errQuarantined = errors.New("a part of the prompt crashes upstreams")
+// errQuarantined is the cause with which a call is cancelled that is banned and has not begun to be answered.
+var errQuarantined = errors.New("such requests crash upstreams")
 
 // suspectedCrash is a broken connection to an engine. It counts as a crash once the engine is known to have
 // ended.
@@ -51,97 +47,68 @@
 	return now.Add(-f.standstill.waited(now))
 }
 
-// TakeUnsentBans returns up to limit bans and suspicions found by this entry that the others
-// have not been sent.
-func (f *Forwarder) TakeUnsentBans(limit int) []quarantiner.Ban {
+// TakeUrgent returns the evidence on requests that have crashed several upstreams, which all entries have to hear of
+// at once.
+func (f *Forwarder) TakeUrgent() isolator.Evidence {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.quarantine.TakeUnsentBans(f.evidenceTime(), limit)
-}
-
-// Bans returns up to limit bans of requests that are in force, those that last longest first.
-func (f *Forwarder) Bans(limit int) []quarantiner.Ban {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	bans := slices.DeleteFunc(f.quarantine.Bans(f.evidenceTime()), func(b quarantiner.Ban) bool { return b.Remaining == 0 })
-	slices.SortStableFunc(bans, func(a, b quarantiner.Ban) int { return cmp.Compare(b.Remaining, a.Remaining) })
-	return bans[:min(limit, len(bans))]
-}
-
-// TakeUnsentMet returns the bans that requests have renewed at this entry, for the entries that decide.
-func (f *Forwarder) TakeUnsentMet() []quarantiner.Ban {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.quarantine.TakeUnsentMet(f.evidenceTime())
-}
-
-// MergeBan merges a ban received from another entry.
-func (f *Forwarder) MergeBan(ban quarantiner.Ban) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.evidenceTime()
-	waited := f.standstill.waited(now)
-	ban.Age += waited
-	ban.Remaining -= waited
-	f.quarantine.Merge(now, ban)
+	return f.isolator.TakeUrgent(f.evidenceTime())
 }
 
 // recordCrash records that an upstream ended with a call in flight. Other entries are told at the
 // next interval. If the request has crashed an upstream before, they are told at once, before the
 // call is retried.
-func (f *Forwarder) recordCrash(ctx context.Context, upstream foxtailwharf.Upstream, digest string) {
+func (f *Forwarder) recordCrash(ctx context.Context, upstream foxtailwharf.Upstream, x *exchange, hasBegun bool) {
 	f.mu.Lock()
-	v := f.quarantine.RecordCrash(f.evidenceTime(), incarnation(upstream), digest)
-	isRepeated := v.Crashes > 1
+	now := f.evidenceTime()
+	crashes := f.isolator.RecordBreak(now, f.earliest(), incarnation(upstream), x.suspects, hasBegun)
+	held := f.isolator.Held(now, x.request)
 	f.mu.Unlock()
-	f.c.Log.Info("quarantine: an upstream ended with a request in flight", zap.String("Digest", digest), zap.String("Upstream", upstream.ID),
-		zap.Int("Crashes", v.Crashes), zap.Int("RecentCrashes", v.Recent), zap.Bool("IsMassFailure", v.IsMassFailure), zap.Bool("IsBanned", v.IsBanned))
-	if isRepeated {
+	x.log("upstream ended with the request in flight", zap.String("Upstream", upstream.ID), zap.String("Request", x.request),
+		zap.Int("Crashes", crashes), zap.Duration("Held", held))
+	if crashes > 1 {
 		f.c.ShareBans(ctx)
 	}
 }
 
 // clearSuspicion removes the evidence against a request that got a complete answer.
-func (f *Forwarder) clearSuspicion(digest string) {
+func (f *Forwarder) clearSuspicion(request string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.quarantine.Clear(digest)
+	f.isolator.RecordComplete(f.earliest(), request)
 }
 
-// quarantinedFor returns how much longer a request is banned, because it crashes upstreams itself or
+// quarantinedFor returns how much longer a call is banned or held, because the request crashes upstreams or
 // has a part in its prompt that does; 0 if it is not.
-func (f *Forwarder) quarantinedFor(digest string, parts []string) time.Duration {
+func (f *Forwarder) quarantinedFor(x *exchange) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.evidenceTime()
-	return max(f.quarantine.BanRemaining(now, digest), f.isolator.BanRemaining(now, parts))
+	return max(f.isolator.Held(now, x.request), f.isolator.BanRemaining(now, x.suspects))
 }
 
-// meetBan records that a call has come and returns how much longer it is banned; 0 if it is not, or if it is
+// meetBan records that a call has come and returns how much longer it is banned or held; 0 if it is not, or if it is
 // a trial.
 func (f *Forwarder) meetBan(x *exchange) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.evidenceTime()
-	if remaining := f.quarantine.Meet(now, x.digest); remaining > 0 {
-		return remaining
-	}
-	remaining, isTrial := f.isolator.Meet(now, x.call.PromptParts)
+	remaining, isTrial := f.isolator.Meet(now, x.suspects)
 	if x.isTrial = isTrial; isTrial {
-		f.c.Log.Info("quarantine: a banned call runs as a trial", zap.String("Call", x.call.ID), zap.Strings("PromptParts", x.call.PromptParts))
+		f.c.Log.Info("quarantine: a banned call runs as a trial", zap.String("Call", x.call.ID), zap.Strings("Suspects", x.suspects))
 		return 0
 	}
-	return remaining
+	return max(remaining, f.isolator.Held(now, x.request))
 }
 
 // mayCrash reports whether another attempt of a request is likely to crash another upstream.
-func (f *Forwarder) mayCrash(digest string, parts []string) bool {
-	if f.quarantinedFor(digest, parts) > 0 {
+func (f *Forwarder) mayCrash(x *exchange) bool {
+	if f.quarantinedFor(x) > 0 {
 		return true
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.isolator.IsLikelyBad(parts)
+	return f.isolator.IsLikelyBad(x.call.PromptParts)
 }
 
 // suspectCrash records a broken connection to an engine, with the parts of the call if it had not begun to
@@ -159,8 +126,8 @@
 	f.isolator.RecordBegin(f.earliest(), parts)
 }
 
-// Isolate weighs the evidence on parts of prompts that crash engines: it confirms crashes and, if this
-// entry decides, bans parts. It returns what other entries have to know.
+// Isolate weighs the evidence on requests and parts of prompts that crash upstreams: it confirms crashes and, if this
+// entry decides, bans them. It returns what other entries have to know.
 func (f *Forwarder) Isolate(role isolator.Role) isolator.Evidence {
 	now := f.evidenceTime()
 	f.mu.Lock()
@@ -191,7 +158,7 @@
 	return f.isolator.TakeUnsent(now)
 }
 
-// MergeEvidence merges what another entry knows of parts of prompts that crash engines.
+// MergeEvidence merges what another entry knows of requests and parts of prompts that crash upstreams.
 func (f *Forwarder) MergeEvidence(e isolator.Evidence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -199,8 +166,8 @@
 	f.enforce(f.isolator.Merge(now, e.Older(f.standstill.waited(now))))
 }
 
-// PartBans returns the bans of parts of prompts.
-func (f *Forwarder) PartBans() []isolator.Ban {
+// Bans returns the bans of requests and parts of prompts.
+func (f *Forwarder) Bans() []isolator.Ban {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.isolator.Bans(f.evidenceTime())
@@ -211,22 +178,22 @@
 	for _, b := range banned {
 		ended := 0
 		for x := range f.pending {
-			if b.Covers(x.call.PromptParts) {
+			if b.Covers(x.suspects) {
 				x.cancel(errQuarantined)
 				ended++
 			}
 		}
-		f.c.Log.Warn("quarantine: calls with these parts in their prompts are refused, since they crash engines", zap.Strings("PromptParts", b.Parts),
+		f.c.Log.Warn("quarantine: calls with all of these suspects are refused, since they crash upstreams", zap.Strings("Suspects", b.Parts),
 			zap.Duration("SinceCrash", b.Age), zap.Duration("Remaining", b.Remaining), zap.Int("Ended", ended))
 	}
 }
 
-// addPending registers a call that has not begun to be answered. It returns how much longer a part of its
-// prompt is banned; 0 if none is.
+// addPending registers a call that has not begun to be answered. It returns how much longer it is banned; 0 if it is
+// not.
 func (f *Forwarder) addPending(x *exchange) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if remaining := f.isolator.BanRemaining(f.evidenceTime(), x.call.PromptParts); remaining > 0 && !x.isTrial {
+	if remaining := f.isolator.BanRemaining(f.evidenceTime(), x.suspects); remaining > 0 && !x.isTrial {
 		return remaining
 	}
 	f.pending[x] = true
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -38,8 +38,9 @@
 	limits   foxtailwharf.CallLimits
 	account  string
 	rank     queuer.Rank
-	digest   string
-	isTrial  bool // runs in spite of a ban
+	request  string   // identifies identical requests
+	suspects []string // the request and the parts of its prompt
+	isTrial  bool     // runs in spite of a ban
 	// isBodyBegun is set once the body is being read, and hasBodyFailed if that fails.
 	isBodyBegun, hasBodyFailed bool
 	cancel                     context.CancelCauseFunc
@@ -155,7 +156,7 @@
 		return nil
 	}
 	a := newAttempt(x, u, from)
-	if remaining := x.f.quarantinedFor(x.digest, x.call.PromptParts); remaining > 0 && !x.isTrial {
+	if remaining := x.f.quarantinedFor(x); remaining > 0 && !x.isTrial {
 		// The end of another banned call may have freed the slot before the ban has ended this one.
 		a.end(ctx, balancer.Abandoned)
 		x.finish(ctx, quarantined(remaining))
@@ -238,7 +239,7 @@
 }
 
 func (x *exchange) mayRetryAfterRun() bool {
-	return x.route.IsRepeatable() && x.progress.countRuns() < x.route.Attempts && !x.f.mayCrash(x.digest, x.call.PromptParts)
+	return x.route.IsRepeatable() && x.progress.countRuns() < x.route.Attempts && !x.f.mayCrash(x)
 }
 
 // finish ends a call that no attempt has delivered.
@@ -256,7 +257,7 @@
 	case x.progress.hasUnknown():
 		x.refuse(foxtailwharf.OutcomeUnknown(x.unknownReason(ctx), "no upstream sent a complete answer"))
 	case errors.Is(context.Cause(ctx), errQuarantined):
-		x.refuse(quarantined(x.f.quarantinedFor(x.digest, x.call.PromptParts)))
+		x.refuse(quarantined(x.f.quarantinedFor(x)))
 	case refusal != nil:
 		x.refuse(refusal)
 	default:
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -23,7 +23,6 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/matcher"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/retrylimiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/returner"
 )
@@ -42,7 +41,7 @@
 	// NotifyAgent tells the agent of an engine that a call is being sent there, with the length of
 	// its prompt in tokens.
 	NotifyAgent func(u foxtailwharf.Upstream, tokens int)
-	// ShareBans sends the other entries the new bans that TakeUnsentBans returns, without
+	// ShareBans sends the other entries the evidence that TakeUrgent returns, without
 	// waiting for the next interval.
 	ShareBans func(ctx context.Context)
 	Random    *rand.Rand
@@ -60,7 +59,6 @@
 	mu         sync.Mutex
 	retries    *retrylimiter.Limiter
 	returner   *returner.Returner
-	quarantine *quarantiner.Quarantiner
 	isolator   *isolator.Isolator
 	suspected  []suspectedCrash
 	standstill standstill
@@ -84,21 +82,17 @@
 	unsharedAnswerBytes = 64 << 10
 )
 
-// crashesToBan is the number of crashed upstreams at which a request is banned.
-const crashesToBan = 3
-
 // New returns a forwarder that refuses all calls until SetView gives it a configuration.
 func New(c Config) *Forwarder {
 	return &Forwarder{
-		c:          c,
-		collector:  collector.New(collector.Config{MaxAnswer: maxAnswerBytes, MaxTotal: maxAnswersBytes, Unshared: unsharedAnswerBytes}),
-		discarder:  discarder.New(discarder.Config{Log: c.Log}),
-		retries:    retrylimiter.New(c.RetryBudget, time.Now()),
-		quarantine: quarantiner.New(quarantiner.Config{CrashesToBan: crashesToBan}),
-		isolator:   isolator.New(isolator.Config{}),
-		pending:    make(map[*exchange]bool),
-		returner:   returner.New(c.Random),
-		random:     c.Random,
+		c:         c,
+		collector: collector.New(collector.Config{MaxAnswer: maxAnswerBytes, MaxTotal: maxAnswersBytes, Unshared: unsharedAnswerBytes}),
+		discarder: discarder.New(discarder.Config{Log: c.Log}),
+		retries:   retrylimiter.New(c.RetryBudget, time.Now()),
+		isolator:  isolator.New(isolator.Config{}),
+		pending:   make(map[*exchange]bool),
+		returner:  returner.New(c.Random),
+		random:    c.Random,
 	}
 }
 
--- a/internal/request/isolator/ban.go
+++ b/internal/request/isolator/ban.go
@@ -14,10 +14,11 @@
 	renewalFraction = 0.25
 )
 
-// ban is a ban of the calls that have all of some parts: those that the evidence could not tell apart.
+// ban is a ban of the calls that have all of some parts: those that the evidence could not tell apart. One may be a
+// whole request.
 type ban struct {
 	parts     []string  // sorted
-	until     time.Time // later while calls under the ban come
+	until     time.Time // later while calls under the ban come; bounded if one of the parts is a request
 	crashedAt time.Time // newest crash that is held against the parts
 	// trialAt is when a call may run in spite of the ban, as a trial whether the parts still crash engines,
 	// and trialPause the time until the trial after it.
@@ -52,13 +53,20 @@
 	}
 }
 
-// prolong makes the ban last until a time at least.
+// prolong makes the ban last until a time at least, within its limit.
 func (b *ban) prolong(until time.Time) {
+	if latest := b.crashedAt.Add(maxRequestBan); b.hasRequest() && until.After(latest) {
+		until = latest
+	}
 	if until.After(b.until) {
 		b.until = until
 	}
 }
 
+func (b *ban) hasRequest() bool {
+	return slices.ContainsFunc(b.parts, IsRequest)
+}
+
 // recordTrial records that a call runs in spite of the ban. The pauses between trials grow.
 func (b *ban) recordTrial(now time.Time) {
 	b.trialPause = min(2*b.trialPause, maxTrialPause)
@@ -99,10 +107,11 @@
 		if !b.covers(parts) || !b.until.After(now) {
 			continue
 		}
-		isTrial = isTrial && !now.Before(b.trialAt)
+		isTrial = isTrial && !now.Before(b.trialAt) && !b.hasRequest()
 		if until := now.Add(i.c.BanTime); until.Sub(b.until).Seconds() > renewalFraction*i.c.BanTime.Seconds() {
+			before := b.until
 			b.prolong(until)
-			i.unsent.met[key] = true
+			i.unsent.met[key] = i.unsent.met[key] || b.until.After(before)
 		}
 	}
 	if remaining = i.BanRemaining(now, parts); remaining == 0 || !isTrial {
@@ -117,14 +126,15 @@
 }
 
 // addBan adds a ban in place of those that it covers, and drops what is held against other parts for the
-// crashes that it explains.
+// crashes that it explains. Other requests that were in flight there may crash engines as well.
 func (i *Isolator) addBan(parts []string, until, crashedAt time.Time) *ban {
 	for key, other := range i.bans {
 		if containsAll(other.parts, parts) {
 			delete(i.bans, key)
 		}
 	}
-	b := &ban{parts: parts, until: until, crashedAt: crashedAt, trialAt: crashedAt.Add(i.c.BanTime), trialPause: i.c.BanTime}
+	b := &ban{parts: parts, crashedAt: crashedAt, trialAt: crashedAt.Add(i.c.BanTime), trialPause: i.c.BanTime}
+	b.prolong(until)
 	i.bans[b.key()] = b
 	for upstream, c := range i.crashes {
 		if !c.hasAll(parts) {
@@ -132,7 +142,7 @@
 		}
 		c.isExplained = true
 		for _, suspect := range sortedKeys(c.suspects) {
-			if !slices.Contains(parts, suspect) {
+			if !slices.Contains(parts, suspect) && !IsRequest(suspect) {
 				i.forget(suspect, upstream)
 			}
 		}
--- a/internal/request/isolator/evidence.go
+++ b/internal/request/isolator/evidence.go
@@ -9,20 +9,21 @@
 )
 
 // Crash is a crash of an engine as an entry tells it to others, with the suspects among its own calls:
-// the parts of those that had not begun to be answered.
+// the parts of those that had not begun to be answered, or the requests.
 type Crash struct {
 	Upstream string // incarnation
 	Age      time.Duration
 	Parts    []string
+	Begun    []string // requests that had begun to be answered
 }
 
-// Proof says that a call with a part began to be answered.
+// Proof says that a call with a part began to be answered, or a request was answered whole.
 type Proof struct {
 	Part string
 	Age  time.Duration
 }
 
-// Ban is a ban of the calls that have all of some parts.
+// Ban is a ban of the calls that have all of some parts, one of which may be the request itself.
 type Ban struct {
 	Parts     []string      // sorted
 	Age       time.Duration // since the newest crash that is held against the parts
@@ -33,6 +34,7 @@
 // a proof changes a ban.
 type Evidence struct {
 	Crashes   []Crash
+	Breaks    []Crash // connections that broke with requests in flight, which are the suspects
 	Relayed   []Crash // all that is known of crashes; from an entry that decides, for those that do not
 	Proofs    []Proof
 	Bans      []Ban
@@ -42,10 +44,13 @@
 
 // Older returns evidence that has waited for a time since its ages were told.
 func (e Evidence) Older(waited time.Duration) Evidence {
-	e.Crashes, e.Proofs, e.Bans = slices.Clone(e.Crashes), slices.Clone(e.Proofs), slices.Clone(e.Bans)
+	e.Crashes, e.Breaks, e.Proofs, e.Bans = slices.Clone(e.Crashes), slices.Clone(e.Breaks), slices.Clone(e.Proofs), slices.Clone(e.Bans)
 	for n := range e.Crashes {
 		e.Crashes[n].Age += waited
 	}
+	for n := range e.Breaks {
+		e.Breaks[n].Age += waited
+	}
 	for n := range e.Proofs {
 		e.Proofs[n].Age += waited
 	}
@@ -59,14 +64,8 @@
 // TakeUnsent returns what this entry has found itself and not returned before. It returns crashes
 // several times.
 func (i *Isolator) TakeUnsent(now time.Time) (e Evidence) {
-	for _, upstream := range slices.Sorted(maps.Keys(i.unsent.crashes)) {
-		if c := i.crashes[upstream]; c != nil {
-			e.Crashes = append(e.Crashes, Crash{Upstream: upstream, Age: now.Sub(c.at), Parts: sortedKeys(c.own)})
-		}
-		if i.unsent.crashes[upstream]--; i.unsent.crashes[upstream] == 0 {
-			delete(i.unsent.crashes, upstream)
-		}
-	}
+	e.Crashes = i.takeCrashes(now, i.unsent.crashes, false)
+	e.Breaks = i.takeCrashes(now, i.unsent.breaks, true)
 	if i.role != RoleNone {
 		e.Relayed = i.relayed(now)
 	}
@@ -77,19 +76,44 @@
 	}
 	e.Bans, e.Met = i.reports(now, i.unsent.bans), i.reports(now, i.unsent.met)
 	e.IsLifting = i.unsent.isLifting
-	clear(i.unsent.proofs)
-	clear(i.unsent.bans)
-	clear(i.unsent.met)
-	clear(i.unsent.relayed)
-	i.unsent.isLifting = false
+	i.unsent.clear()
 	return e
 }
 
-// relayed returns the crashes of which there is news.
+// clear drops all but crashes that are still to be sent again, and urgent ones.
+func (u *unsent) clear() {
+	clear(u.proofs)
+	clear(u.bans)
+	clear(u.met)
+	clear(u.relayed)
+	u.isLifting = false
+}
+
+// takeCrashes returns the crashes that are still to be sent, each with those of this entry's own suspects that are
+// requests, or with the others.
+func (i *Isolator) takeCrashes(now time.Time, sends map[string]int, isRequest bool) (crashes []Crash) {
+	for _, upstream := range slices.Sorted(maps.Keys(sends)) {
+		if c := i.crashes[upstream]; c != nil {
+			own := slices.DeleteFunc(sortedKeys(c.own), func(suspect string) bool { return IsRequest(suspect) != isRequest })
+			if isRequest {
+				crashes = append(crashes, c.reportBreak(now, upstream, own))
+			} else {
+				crashes = append(crashes, Crash{Upstream: upstream, Age: now.Sub(c.at), Parts: own})
+			}
+		}
+		if sends[upstream]--; sends[upstream] == 0 {
+			delete(sends, upstream)
+		}
+	}
+	return crashes
+}
+
+// relayed returns the crashes of which there is news, with the parts of prompts that are suspects.
 func (i *Isolator) relayed(now time.Time) (crashes []Crash) {
 	for _, upstream := range sortedKeys(i.unsent.relayed) {
-		if c := i.crashes[upstream]; c != nil {
-			crashes = append(crashes, Crash{Upstream: upstream, Age: now.Sub(c.at), Parts: sortedKeys(c.suspects)})
+		if i.HasCrash(upstream) {
+			c := i.crashes[upstream]
+			crashes = append(crashes, Crash{Upstream: upstream, Age: now.Sub(c.at), Parts: slices.DeleteFunc(sortedKeys(c.suspects), IsRequest)})
 		}
 	}
 	return crashes
@@ -137,6 +161,7 @@
 	for _, c := range e.Crashes {
 		i.mergeCrash(now, c)
 	}
+	i.mergeBreaks(now, e.Breaks)
 	return banned
 }
 
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -1,8 +1,9 @@
-// Package isolator finds the part of prompts that crashes engines, among calls of which no two are
-// alike. When an engine crashes, the parts of all calls that had not begun to be answered there are
-// suspects. A call that begins proves that its parts are sound, since a bad part crashes each engine
-// before it writes anything. What is left after several crashes is banned. Entries exchange crashes,
-// proofs and bans, with ages instead of times. The package does no I/O and reads no clock.
+// Package isolator finds what crashes upstreams: a request that is sent again and again, or a part of prompts
+// among calls of which no two are alike. When an upstream ends, all requests in flight there are suspects, and the
+// parts of those calls that had not begun to be answered. A call that begins proves that its parts are sound,
+// since a bad part crashes each engine before it writes anything; a complete answer proves the request sound.
+// What is left after several crashes is banned. Entries exchange crashes, proofs and bans, with ages instead of
+// times, since each of them sees a part of the calls in flight only. The package does no I/O and reads no clock.
 package isolator
 
 import (
@@ -14,18 +15,29 @@
 const (
 	// settleTime is how long a crash waits for proofs, from when it was heard of, before it counts.
 	settleTime = 300 * time.Millisecond
+	// unconfirmedTime is how long broken connections wait for word that the engine has ended before they count as a
+	// crash under the requests that were in flight. Plain services have no agents that would tell.
+	unconfirmedTime = 600 * time.Millisecond
 	// crashGap is the time after a crash within which further ones are not apart from it: a failure of
 	// many engines at once has another cause than a call.
 	crashGap = 150 * time.Millisecond
+	// requestGap is the same for crashes under a request: one that is tried again does not reach another engine and
+	// crash it within that time.
+	requestGap = 40 * time.Millisecond
+	// requestWindow is the time before the first crash under a request, and after the last one, in which crashes under
+	// others tell of another cause: few requests are in flight on several of many engines that fail one by one.
+	requestWindow = time.Second
 	// likelyCrashes is the number of crashes at which a part that was never seen to be sound is likely to
 	// be bad.
 	likelyCrashes = 2
-	// crashesToBan is the number of crashes, apart from each other, at which a part that was never seen
-	// to be sound is banned, if it is a suspect of minCoverage of all crashes meanwhile.
-	crashesToBan = 3
-	minCoverage  = 0.5
-	// certainCrashes is the number of crashes that isolate a part whatever other engines crash. Crashes at
-	// once do, if the part is a suspect of burstCoverage of them.
+	// defaultCrashesToBan is the default of Config.CrashesToBan.
+	defaultCrashesToBan = 3
+	// minCoverage is the fraction of all crashes meanwhile of which a suspect must be one to be banned after
+	// CrashesToBan crashes apart from each other.
+	minCoverage = 0.5
+	// certainCrashes is the number of crashes that isolate a suspect whatever other engines crash: a sound call seldom
+	// runs on one engine after the other that fails before it has begun. Crashes at once do, if it is a suspect of
+	// burstCoverage of them.
 	certainCrashes = 5
 	burstCoverage  = 0.9
 	// crashesToRefine is the number of crashes under a part of a ban, of calls that the ban does not
@@ -40,8 +52,9 @@
 
 // Config holds the settings of an Isolator. Defaults replaces zero values.
 type Config struct {
-	BanTime  time.Duration // length of a ban, from the newest crash or call under it
-	Lifetime time.Duration // how long a crash counts
+	BanTime      time.Duration // length of a ban, from the newest crash or call under it
+	Lifetime     time.Duration // how long a crash counts
+	CrashesToBan int           // crashes, apart from each other, at which a suspect that was never sound is banned
 }
 
 // Defaults sets the fields that are zero.
@@ -52,6 +65,9 @@
 	if c.Lifetime == 0 {
 		c.Lifetime = 10 * time.Minute
 	}
+	if c.CrashesToBan == 0 {
+		c.CrashesToBan = defaultCrashesToBan
+	}
 }
 
 // Role is what an entry does about the evidence, besides telling the others.
@@ -69,24 +85,30 @@
 	c        Config
 	role     Role
 	crashes  map[string]*crash          // by incarnation of the engine
-	suspects map[string]map[string]bool // incarnations that crashed under a part, by part
-	begun    recentTimes                // when a call with a part last began to be answered
+	suspects map[string]map[string]bool // incarnations that crashed under a suspect, by suspect
+	begun    recentTimes                // when a call with a part last began to be answered, or a suspected request was complete
 	bans     map[string]*ban            // by key
 	unsent   unsent
 }
 
-// crash is a crash of an engine and its suspects.
+// crash is the end of an engine and its suspects. Broken connections alone, which only requests in flight are held
+// against, may have another cause.
 type crash struct {
-	at          time.Time
-	heardAt     time.Time       // when this entry first heard of it
-	own         map[string]bool // suspects among this entry's own calls
-	suspects    map[string]bool
-	isExplained bool // a ban covers it; its suspects are those of the ban
+	at           time.Time       // when it ended; zero if only connections have broken
+	heardAt      time.Time       // when this entry first heard that it ended
+	brokeAt      time.Time       // when connections to it broke with requests in flight; zero if none did
+	brokeHeardAt time.Time       // when this entry first heard of that
+	own          map[string]bool // suspects among this entry's own calls
+	suspects     map[string]bool
+	begun        map[string]bool // requests among the suspects that had begun to be answered
+	isExplained  bool            // a ban covers it; its suspects are those of the ban
 }
 
 // unsent is what TakeUnsent has not returned.
 type unsent struct {
 	crashes map[string]int  // how often each is still to be sent, by incarnation
+	breaks  map[string]int  // the same of connections that broke with requests in flight
+	urgent  map[string]bool // requests of whose crashes all entries have to hear
 	proofs  map[string]bool // by part
 	bans    map[string]bool // by key
 	met     map[string]bool // bans that calls have met, by key
@@ -105,7 +127,7 @@
 		crashes:  make(map[string]*crash),
 		suspects: make(map[string]map[string]bool),
 		bans:     make(map[string]*ban),
-		unsent:   unsent{crashes: make(map[string]int), proofs: make(map[string]bool), bans: make(map[string]bool), met: make(map[string]bool), relayed: make(map[string]bool)},
+		unsent:   unsent{crashes: make(map[string]int), breaks: make(map[string]int), urgent: make(map[string]bool), proofs: make(map[string]bool), bans: make(map[string]bool), met: make(map[string]bool), relayed: make(map[string]bool)},
 	}
 }
 
@@ -134,48 +156,74 @@
 
 // HasCrash reports whether an incarnation of an engine is known to have crashed.
 func (i *Isolator) HasCrash(upstream string) bool {
-	return i.crashes[upstream] != nil
+	c := i.crashes[upstream]
+	return c != nil && !c.at.IsZero()
 }
 
-// addCrash returns the crash of an engine, which it adds if it is not known. The oldest crash is dropped
-// if there are too many.
+// addCrash returns the crash of an engine, which it adds if it is not known.
 func (i *Isolator) addCrash(now, at time.Time, upstream string) *crash {
+	c := i.record(upstream)
+	if c.at.IsZero() {
+		c.heardAt = now
+		i.unsent.relayed[upstream] = true
+	}
+	if c.at.IsZero() || at.Before(c.at) {
+		c.at = at
+	}
+	return c
+}
+
+// record returns what is known of the end of an engine. The oldest crash is dropped if there are too many.
+func (i *Isolator) record(upstream string) *crash {
 	c := i.crashes[upstream]
 	if c == nil {
 		if len(i.crashes) >= maxCrashes {
 			i.dropOldest()
 		}
-		i.unsent.relayed[upstream] = true
-		c = &crash{at: at, heardAt: now, own: make(map[string]bool), suspects: make(map[string]bool)}
+		c = &crash{own: make(map[string]bool), suspects: make(map[string]bool), begun: make(map[string]bool)}
 		i.crashes[upstream] = c
 	}
-	if at.Before(c.at) {
-		c.at = at
-	}
 	return c
 }
 
 func (i *Isolator) dropOldest() {
 	oldest := ""
 	for upstream, c := range i.crashes {
-		if oldest == "" || c.at.Before(i.crashes[oldest].at) {
+		if oldest == "" || c.newest().Before(i.crashes[oldest].newest()) {
 			oldest = upstream
 		}
 	}
 	i.dropCrash(oldest)
 }
 
+// newest returns when the engine ended, or when connections to it broke if that was later.
+func (c *crash) newest() time.Time {
+	if c.brokeAt.After(c.at) {
+		return c.brokeAt
+	}
+	return c.at
+}
+
+// when returns the time of the crash for a kind of suspect. It is zero for parts of prompts if only connections
+// have broken.
+func (c *crash) when(isRequest bool) time.Time {
+	if isRequest && !c.brokeAt.IsZero() {
+		return c.brokeAt
+	}
+	return c.at
+}
+
 // addSuspect adds a part to the suspects of a crash. It returns false if a ban explains the crash, if a
 // later call has proved the part sound, which the others may not know, and if there are too many suspects.
 func (i *Isolator) addSuspect(c *crash, upstream, part string) bool {
 	if c.isExplained || len(c.suspects) >= maxParts {
 		return false
 	}
-	if i.begun.last(part).After(c.at) {
+	if i.begun.last(part).After(c.when(IsRequest(part))) {
 		i.unsent.proofs[part] = true
 		return false
 	}
-	if !c.suspects[part] {
+	if !c.suspects[part] && !IsRequest(part) {
 		i.unsent.relayed[upstream] = true
 	}
 	c.suspects[part] = true
@@ -200,7 +248,7 @@
 func (i *Isolator) clear(soundAt time.Time, part string) {
 	i.begun.set(part, soundAt)
 	for upstream := range i.suspects[part] {
-		if !i.crashes[upstream].at.After(soundAt) {
+		if !i.crashes[upstream].when(IsRequest(part)).After(soundAt) {
 			i.forget(part, upstream)
 		}
 	}
@@ -215,6 +263,7 @@
 	if c := i.crashes[upstream]; c != nil {
 		delete(c.suspects, part)
 		delete(c.own, part)
+		delete(c.begun, part)
 	}
 	delete(i.suspects[part], upstream)
 	if len(i.suspects[part]) == 0 {
@@ -222,9 +271,9 @@
 	}
 }
 
-// IsSuspect reports whether an engine crashed under a part that has not been proved sound since.
-func (i *Isolator) IsSuspect(part string) bool {
-	return i.suspects[part] != nil
+// IsSuspect reports whether an engine crashed under a request or a part that has not been proved sound since.
+func (i *Isolator) IsSuspect(suspect string) bool {
+	return i.suspects[suspect] != nil
 }
 
 // IsLikelyBad reports whether a call with these parts is likely to crash another engine: several have
@@ -235,8 +284,10 @@
 	})
 }
 
+// hasBegun reports whether a part was ever seen to be sound. What is held against a request has come after its last
+// complete answer.
 func (i *Isolator) hasBegun(part string) bool {
-	return !i.begun.last(part).IsZero()
+	return !IsRequest(part) && !i.begun.last(part).IsZero()
 }
 
 // Decide bans what the evidence isolates: the parts that it cannot tell apart, and with them only calls
@@ -255,23 +306,36 @@
 	}
 }
 
-// inseparable returns a candidate with all parts that are suspects of the same crashes. Parts that were
-// seen to be sound are left out, unless the candidate itself was.
-func (i *Isolator) inseparable(c candidate) (parts []string) {
-	for part, upstreams := range i.suspects {
-		if i.hasBegun(part) && !c.hasBegun {
-			continue
-		}
-		isSame := true
-		for upstream := range i.suspects[c.part] {
-			isSame = isSame && upstreams[upstream]
+// inseparable returns a candidate with all suspects of the same crashes. Parts that were seen to be sound are left
+// out, unless the candidate itself was. Since a call is one request only, so are others than the candidate, and
+// several.
+func (i *Isolator) inseparable(c candidate) (suspects []string) {
+	var requests []string
+	for suspect := range i.suspects {
+		switch {
+		case suspect == c.part || !i.isInAll(suspect, c.part):
+		case IsRequest(suspect):
+			requests = append(requests, suspect)
+		case !i.hasBegun(suspect) || c.hasBegun:
+			suspects = append(suspects, suspect)
 		}
-		if isSame {
-			parts = append(parts, part)
+	}
+	suspects = append(suspects, c.part)
+	if len(requests) == 1 && !IsRequest(c.part) {
+		suspects = append(suspects, requests[0])
+	}
+	slices.Sort(suspects)
+	return suspects
+}
+
+// isInAll reports whether a suspect is one of all crashes of which another one is.
+func (i *Isolator) isInAll(suspect, other string) bool {
+	for upstream := range i.suspects[other] {
+		if !i.suspects[suspect][upstream] {
+			return false
 		}
 	}
-	slices.Sort(parts)
-	return parts
+	return true
 }
 
 func (i *Isolator) dropCrash(upstream string) {
@@ -282,10 +346,11 @@
 	}
 	delete(i.crashes, upstream)
 	delete(i.unsent.crashes, upstream)
+	delete(i.unsent.breaks, upstream)
 	delete(i.unsent.relayed, upstream)
 }
 
-// candidate is a part that the evidence may isolate.
+// candidate is a suspect that the evidence may isolate.
 type candidate struct {
 	part     string
 	crashes  int
@@ -293,7 +358,7 @@
 	last     time.Time
 }
 
-// isolate returns the part that the evidence isolates best.
+// isolate returns the suspect that the evidence isolates best.
 func (i *Isolator) isolate(now time.Time) (best candidate, isFound bool) {
 	for part := range i.suspects {
 		c, isCandidate := i.candidate(now, part)
@@ -304,54 +369,117 @@
 	return best, isFound
 }
 
-// candidate returns what is held against a part; false if that is too little for a ban.
+// candidate returns what is held against a suspect; false if that is too little for a ban.
 func (i *Isolator) candidate(now time.Time, part string) (c candidate, isCandidate bool) {
 	c = candidate{part: part, hasBegun: i.hasBegun(part)}
-	var times []time.Time
+	isRequest := IsRequest(part)
+	var times crashTimes
 	isNew, unexplained := true, 0
 	for upstream := range i.suspects[part] {
 		crashed := i.crashes[upstream]
-		if now.Sub(crashed.heardAt) < settleTime {
+		if !crashed.isSettled(now, isRequest) {
 			continue
 		}
-		times = append(times, crashed.at)
+		times.add(crashed, part)
 		if crashed.isExplained {
 			isNew = false
 		} else {
 			unexplained++
 		}
 	}
-	if len(times) < crashesToBan || unexplained == 0 || (!isNew && unexplained < crashesToRefine) {
+	if len(times.all) < i.c.CrashesToBan || unexplained == 0 || (!isNew && unexplained < crashesToRefine) {
 		return c, false
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	c.crashes, c.last = len(times), times[len(times)-1]
-	apart := countApart(times)
-	coverage := float64(c.crashes) / float64(max(i.crashesAround(times[0], c.last, part), 1))
-	if c.hasBegun {
-		return c, c.crashes >= certainCrashes && apart >= crashesToBan && coverage >= minCoverage
+	times.sort()
+	c.crashes, c.last = len(times.all), times.last()
+	return c, i.isIsolated(c, times)
+}
+
+// crashTimes are the times of the crashes under a suspect.
+type crashTimes struct {
+	all   []time.Time
+	early []time.Time // of those at which no call with the suspect had begun to be answered
+}
+
+func (t *crashTimes) add(c *crash, suspect string) {
+	at := c.when(IsRequest(suspect))
+	t.all = append(t.all, at)
+	if !c.begun[suspect] {
+		t.early = append(t.early, at)
 	}
-	return c, (apart >= crashesToBan && coverage >= minCoverage) || apart >= certainCrashes ||
-		(c.crashes >= certainCrashes && coverage >= burstCoverage)
 }
 
-// crashesAround returns the number of crashes in a period and at once with its ends, but for those that
-// the ban of another part explains.
+func (t *crashTimes) sort() {
+	slices.SortFunc(t.all, time.Time.Compare)
+	slices.SortFunc(t.early, time.Time.Compare)
+}
+
+func (t *crashTimes) last() time.Time {
+	return t.all[len(t.all)-1]
+}
+
+// isIsolated reports whether crashes are enough for a ban.
+func (i *Isolator) isIsolated(c candidate, times crashTimes) bool {
+	apart, coverage := countApart(times.early, gap(c.part)), i.coverage(c.part, times)
+	isCovered := apart >= i.c.CrashesToBan && coverage >= minCoverage
+	switch {
+	case c.hasBegun:
+		return c.crashes >= certainCrashes && isCovered
+	case isCovered || apart >= certainCrashes:
+		return true
+	default:
+		// Copies of one request crash engines at once.
+		return (IsRequest(c.part) || c.crashes >= certainCrashes) && coverage >= burstCoverage
+	}
+}
+
+// coverage returns the fraction of all crashes meanwhile of which a suspect is one.
+func (i *Isolator) coverage(part string, times crashTimes) float64 {
+	return float64(len(times.all)) / float64(max(i.crashesAround(times.all[0], times.last(), part), 1))
+}
+
+// isSettled reports whether a crash has waited for proofs, and one of which a request is a suspect also for word that
+// the engine has ended, which makes the parts of its prompt suspects.
+func (c *crash) isSettled(now time.Time, isRequest bool) bool {
+	isConfirmed := !c.at.IsZero() && now.Sub(c.heardAt) >= settleTime
+	if !isRequest {
+		return isConfirmed
+	}
+	broken := now.Sub(c.brokeHeardAt)
+	return (isConfirmed && broken >= settleTime) || broken >= unconfirmedTime
+}
+
+// crashesAround returns the number of crashes in a period and around it, but for those that another suspect may explain:
+// one that is banned, or another request under which several engines have crashed.
 func (i *Isolator) crashesAround(from, to time.Time, part string) (count int) {
-	from, to = from.Add(-crashGap), to.Add(crashGap)
+	around := crashGap
+	if IsRequest(part) {
+		around = requestWindow
+	}
+	from, to = from.Add(-around), to.Add(around)
 	for _, c := range i.crashes {
-		if !c.at.Before(from) && !c.at.After(to) && (!c.isExplained || c.suspects[part]) {
+		at := c.when(IsRequest(part))
+		isOther := c.isExplained || (IsRequest(part) && i.hasLikelyRequest(c))
+		if !at.Before(from) && !at.After(to) && (c.suspects[part] || !isOther) {
 			count++
 		}
 	}
 	return count
 }
 
-// countApart counts sorted times, those within crashGap of the first as one.
-func countApart(times []time.Time) (count int) {
+// gap returns the time after a crash within which further ones are not apart from it, for a suspect.
+func gap(suspect string) time.Duration {
+	if IsRequest(suspect) {
+		return requestGap
+	}
+	return crashGap
+}
+
+// countApart counts sorted times, those within a gap of the first as one.
+func countApart(times []time.Time, gap time.Duration) (count int) {
 	var first time.Time
 	for _, at := range times {
-		if count == 0 || at.Sub(first) > crashGap {
+		if count == 0 || at.Sub(first) > gap {
 			first = at
 			count++
 		}
@@ -359,7 +487,7 @@
 	return count
 }
 
-// isBetter reports whether the evidence against a is better than that against b: a part that was never
+// isBetter reports whether the evidence against a is better than that against b: a suspect that was never
 // seen to be sound first, then more crashes.
 func isBetter(a, b candidate) bool {
 	switch {
@@ -375,7 +503,7 @@
 // expire removes crashes and bans that are too old.
 func (i *Isolator) expire(now time.Time) {
 	for upstream, c := range i.crashes {
-		if now.Sub(c.at) > i.c.Lifetime {
+		if now.Sub(c.newest()) > i.c.Lifetime {
 			i.dropCrash(upstream)
 		}
 	}
--- a/internal/request/isolator/wire.go
+++ b/internal/request/isolator/wire.go
@@ -10,7 +10,7 @@
 // crashesToWire converts crashes to messages.
 func crashesToWire(crashes []Crash) (messages []wire.PartCrash) {
 	for _, c := range crashes {
-		messages = append(messages, wire.PartCrash{Upstream: c.Upstream, AgeMillis: c.Age.Milliseconds(), Parts: c.Parts})
+		messages = append(messages, wire.PartCrash{Upstream: c.Upstream, AgeMillis: c.Age.Milliseconds(), Parts: c.Parts, Begun: c.Begun})
 	}
 	return messages
 }
@@ -33,14 +33,12 @@
 
 // ToWire converts evidence to a message.
 func ToWire(e Evidence) wire.FleetWarning {
-	return wire.FleetWarning{Crashes: crashesToWire(e.Crashes), Proofs: proofsToWire(e.Proofs), PartBans: BansToWire(e.Bans)}
+	return wire.FleetWarning{Crashes: crashesToWire(e.Crashes), Breaks: crashesToWire(e.Breaks), Proofs: proofsToWire(e.Proofs), PartBans: BansToWire(e.Bans)}
 }
 
 // FromWire converts the evidence in a message.
 func FromWire(w wire.FleetWarning) (e Evidence) {
-	for _, m := range w.Crashes {
-		e.Crashes = append(e.Crashes, Crash{Upstream: m.Upstream, Age: time.Duration(m.AgeMillis) * time.Millisecond, Parts: m.Parts})
-	}
+	e.Crashes, e.Breaks = crashesFromWire(w.Crashes), crashesFromWire(w.Breaks)
 	for _, m := range w.Proofs {
 		e.Proofs = append(e.Proofs, Proof{Part: m.Part, Age: time.Duration(m.AgeMillis) * time.Millisecond})
 	}
@@ -48,6 +46,14 @@
 	return e
 }
 
+// crashesFromWire converts messages to crashes.
+func crashesFromWire(messages []wire.PartCrash) (crashes []Crash) {
+	for _, m := range messages {
+		crashes = append(crashes, Crash{Upstream: m.Upstream, Age: time.Duration(m.AgeMillis) * time.Millisecond, Parts: m.Parts, Begun: m.Begun})
+	}
+	return crashes
+}
+
 // BansFromWire converts messages to bans.
 func BansFromWire(messages []wire.PartBan) (bans []Ban) {
 	for _, m := range messages {
--- a/internal/request/relayer/exchange.go
+++ b/internal/request/relayer/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/router"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -38,7 +39,7 @@
 func (e *exchange) attempt() wire.Attempt {
 	req := e.req
 	e.r.mu.Lock()
-	isSuspect := e.r.quarantine.IsSuspect(e.digest)
+	isSuspect := e.r.isolator.IsSuspect(isolator.Request(e.digest))
 	e.r.mu.Unlock()
 	return wire.Attempt{
 		AttemptID:     foxtailwharf.NewID(),
@@ -161,7 +162,7 @@
 func (e *exchange) excludeDead() {
 	e.r.mu.Lock()
 	defer e.r.mu.Unlock()
-	for _, incarnation := range e.r.quarantine.CrashedUpstreams(e.digest) {
+	for _, incarnation := range e.r.isolator.CrashedUpstreams(isolator.Request(e.digest)) {
 		e.excluded[incarnation] = true
 	}
 }
@@ -202,7 +203,9 @@
 	e.r.mu.Lock()
 	e.r.router.Sent(i.Incarnation, e.isUrgent())
 	e.r.mu.Unlock()
+	wasStarted, lastID := e.out.isStarted, e.out.lastID
 	o := t.run(ctx)
+	o.hasBegun = e.out.isStarted && (!wasStarted || e.out.lastID != lastID)
 	e.r.mu.Lock()
 	e.r.router.Returned(i.Incarnation, e.isUrgent())
 	e.r.mu.Unlock()
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -18,7 +18,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/budgeter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/claimer"
-	"github.com/foxtailwharf/foxtailwharf/internal/request/quarantiner"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/router"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -40,7 +40,6 @@
 	Members        Members
 	Router         router.Config
 	Budget         budgeter.Config
-	Quarantine     quarantiner.Config
 	Claimer        *claimer.Claimer
 	Meter          *meter.Meter
 	MaxAnswerBytes int64
@@ -74,21 +73,27 @@
 	mu          sync.Mutex
 	router      *router.Router
 	budget      *budgeter.Budgeter
-	quarantine  *quarantiner.Quarantiner
+	isolator    *isolator.Isolator
 	generations map[string]uint64 // newest key memory generation seen, by incarnation
 }
 
+// crashesToBan is the number of crashed upstreams at which a request is banned.
+const crashesToBan = 2
+
 // New returns a relayer with empty load, retry and quarantine state.
 func New(config Config) *Relayer {
-	return &Relayer{
+	r := &Relayer{
 		config:      config,
 		repeatable:  &http.Client{Transport: dialer.Transport(config.Network, false)},
 		once:        &http.Client{Transport: dialer.Transport(config.Network, true)},
 		router:      router.New(config.Router),
 		budget:      budgeter.New(config.Budget, time.Now()),
-		quarantine:  quarantiner.New(config.Quarantine),
+		isolator:    isolator.New(isolator.Config{CrashesToBan: crashesToBan}),
 		generations: make(map[string]uint64),
 	}
+	// Entries exchange all evidence, and each one decides.
+	r.isolator.SetRole(isolator.RoleDecides)
+	return r
 }
 
 // Close closes the idle connections to agents.
@@ -104,18 +109,34 @@
 	r.router.Report(time.Now(), incarnation, load)
 }
 
-// Bans returns the evidence against all suspected and banned requests.
-func (r *Relayer) Bans() []quarantiner.Ban {
+// Suspicions returns what is held against all suspected and banned requests.
+func (r *Relayer) Suspicions() []isolator.Suspicion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isolator.Suspicions(time.Now())
+}
+
+// Evidence weighs the evidence against requests and returns it, with the bans, for other entries.
+func (r *Relayer) Evidence() isolator.Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.quarantine.Bans(time.Now())
+	now := time.Now()
+	r.decide(now)
+	return r.isolator.All(now)
 }
 
-// MergeBan merges the evidence of another entry against a request, and its ban if there is one.
-func (r *Relayer) MergeBan(ban quarantiner.Ban) {
+// MergeEvidence merges the evidence of another entry against requests, and its bans.
+func (r *Relayer) MergeEvidence(e isolator.Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.quarantine.Merge(time.Now(), ban)
+	r.isolator.Merge(time.Now(), e)
+}
+
+// decide bans the requests that the evidence isolates. The lock must be held.
+func (r *Relayer) decide(now time.Time) {
+	for _, b := range r.isolator.Decide(now) {
+		r.config.Log.Warn("quarantine: requests are refused, since they crash upstreams", zap.Strings("Suspects", b.Parts), zap.Duration("SinceCrash", b.Age))
+	}
 }
 
 // Forget deletes the loads and generations of instances that no longer exist.
@@ -187,8 +208,12 @@
 func (r *Relayer) checkBan(digest string) *foxtailwharf.Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	remaining := r.quarantine.Meet(time.Now(), digest)
-	if remaining == 0 {
+	now, request := time.Now(), isolator.Request(digest)
+	if len(r.isolator.CrashedUpstreams(request)) >= crashesToBan {
+		r.decide(now)
+	}
+	remaining, _ := r.isolator.Meet(now, []string{request})
+	if remaining = max(remaining, r.isolator.Held(now, request)); remaining == 0 {
 		return nil
 	}
 	refusal := foxtailwharf.NotRun(foxtailwharf.ReasonQuarantined, "identical requests crashed the upstreams that ran them")
@@ -236,10 +261,10 @@
 	switch {
 	case o.isWhole:
 		r.router.Succeeded(i.Incarnation)
-		r.quarantine.Clear(digest)
+		r.isolator.RecordComplete(now, isolator.Request(digest))
 	case o.isDeath:
 		r.router.Failed(now, i.Incarnation)
-		r.quarantine.RecordCrash(now, i.Incarnation, digest)
+		r.isolator.RecordBreak(now, now, i.Incarnation, []string{isolator.Request(digest)}, o.hasBegun)
 	case o.isClosed():
 		r.router.Closed(now, i.Incarnation)
 	case o.isFault:
--- a/internal/request/relayer/try.go
+++ b/internal/request/relayer/try.go
@@ -37,6 +37,7 @@
 	generation  uint64
 	isFault     bool // the upstream or its agent failed
 	isDeath     bool // the upstream died with the request in flight
+	hasBegun    bool // a part of the response has been sent to the caller
 	isMismatch  bool // the response is malformed or does not belong to the attempt
 	isFinal     bool // another attempt cannot succeed
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -187,15 +187,15 @@
 	// incarnation of the peer to which Since belongs
 	Epoch string `json:"Epoch,omitempty,omitzero"`
 
+	// what the sender holds against requests that crash upstreams, and its bans
+	Evidence *FleetWarning `json:"Evidence,omitempty,omitzero"`
+
 	// From corresponds to the JSON schema field "From".
 	From Instance `json:"From"`
 
 	// Load corresponds to the JSON schema field "Load".
 	Load *Load `json:"Load,omitempty,omitzero"`
 
-	// Quarantines corresponds to the JSON schema field "Quarantines".
-	Quarantines []Quarantine `json:"Quarantines,omitempty,omitzero"`
-
 	// the peer's change number up to which the sender has its members
 	Since uint64 `json:"Since,omitempty,omitzero"`
 }
@@ -208,12 +208,12 @@
 	// Epoch corresponds to the JSON schema field "Epoch".
 	Epoch string `json:"Epoch"`
 
+	// what the sender holds against requests that crash upstreams, and its bans
+	Evidence *FleetWarning `json:"Evidence,omitempty,omitzero"`
+
 	// Members corresponds to the JSON schema field "Members".
 	Members []Instance `json:"Members,omitempty,omitzero"`
 
-	// Quarantines corresponds to the JSON schema field "Quarantines".
-	Quarantines []Quarantine `json:"Quarantines,omitempty,omitzero"`
-
 	// Sequence corresponds to the JSON schema field "Sequence".
 	Sequence uint64 `json:"Sequence"`
 
@@ -571,8 +571,9 @@
 // FleetWarning tells another entry what is held against requests that crash
 // upstreams, and the limits that upstreams have named; the answer is an empty one.
 type FleetWarning struct {
-	// Bans corresponds to the JSON schema field "Bans".
-	Bans []Quarantine `json:"Bans,omitempty,omitzero"`
+	// connections to upstreams that broke with requests in flight, which stand in
+	// place of parts
+	Breaks []PartCrash `json:"Breaks,omitempty,omitzero"`
 
 	// Crashes corresponds to the JSON schema field "Crashes".
 	Crashes []PartCrash `json:"Crashes,omitempty,omitzero"`
@@ -706,6 +707,9 @@
 	// AgeMillis corresponds to the JSON schema field "AgeMillis".
 	AgeMillis int64 `json:"AgeMillis"`
 
+	// requests in flight that had begun to be answered
+	Begun []string `json:"Begun,omitempty,omitzero"`
+
 	// Parts corresponds to the JSON schema field "Parts".
 	Parts []string `json:"Parts,omitempty,omitzero"`
 
@@ -723,22 +727,6 @@
 	Part string `json:"Part"`
 }
 
-// Quarantine is what an entry holds against a request digest: the upstreams that
-// died with it, and for how long it is still barred, if it is.
-type Quarantine struct {
-	// time since the newest of the deaths
-	AgeMillis int64 `json:"AgeMillis,omitempty,omitzero"`
-
-	// Digest corresponds to the JSON schema field "Digest".
-	Digest string `json:"Digest"`
-
-	// RemainingMillis corresponds to the JSON schema field "RemainingMillis".
-	RemainingMillis int64 `json:"RemainingMillis"`
-
-	// incarnations that died with the request in flight
-	Upstreams []string `json:"Upstreams,omitempty,omitzero"`
-}
-
 // Refusal says why a request was not answered and whether it can have run.
 type Refusal struct {
 	// Detail corresponds to the JSON schema field "Detail".
