--- a/standin/simulator/crashingrequest_test.go
+++ b/standin/simulator/crashingrequest_test.go
@@ -289,3 +289,25 @@
 	}
 	s.h.t.Errorf("%s was not served in %d tries", body, tries)
 }
+
+// TestCallsOfCrashingSession guards against sound calls that are refused because they share a part of the prompt with a
+// request that crashes engines, and no call had that part before.
+func TestCallsOfCrashingSession(t *testing.T) {
+	t.Parallel()
+	const length = 12 * time.Second
+	arrived := &requestArrivals{at: make(map[string][]time.Time)}
+	config := simulator.Config{Entries: 6, Engines: 27, Slots: 16, Events: 20, CrashingCalls: []string{"crasher-0"}, OnArrive: arrived.arrive}
+	run(t, config, 0, func(h *harness) {
+		end := time.Now().Add(length)
+		others, session := &soundCalls{h: h}, &soundCalls{h: h}
+		others.run(40, length, "near,other")
+		h.callers.Go(func() { h.repeat("crasher-0", 0, 200*time.Millisecond, end, "near,session,last") })
+		h.callers.Go(func() { h.listRestarted(end) })
+		time.Sleep(contactBound)
+		session.run(3, length-contactBound, "near,session")
+		h.callers.Wait()
+		arrived.check(t, "crasher-0")
+		others.check(t, end.Add(-2*contactBound))
+		session.check(t, end.Add(-2*contactBound))
+	})
+}
