Calls in progress at the end of an entry's graceful shutdown are answered

What callers would see: in a planned stop of an entry, calls that were taken late in the time for it, and earlier ones that take long, were passed on to their upstreams with their full timeout, and their connections closed with no answer 7.7 s after the signal; also calls that may not be repeated. Cause: only the HTTP server knew the end of the shutdown. Class: a time limit that the parts doing the work do not know. Change: the end bounds the deadline of each call that comes, and calls in progress are cancelled 0.7 s before it (finisher): what has not run is refused as not run, what may have run gets 502 or 504 before the connection closes. The server looks each half second whether all have ended, so that the process also ends without an error. Evidence: TestCallsAtEndOfGrace failed in two of six cases (ten calls without an answer) and passes; TestCallsInMomentOfStop and the tests of forwarder and distributor pass.

--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -358,11 +358,11 @@
 
 // Stop shuts down gracefully: the readiness check fails first, calls are still accepted for
 // drainDelay so that the load balancer notices, and then calls in progress are finished. ctx
-// bounds the wait.
+// bounds the wait; calls that are in progress at its end are answered before.
 func (d *Distributor) Stop(ctx context.Context) error {
 	d.c.Log.Info("entry: stopping")
 	d.isLeaving.Store(true)
-	d.forwarder.CloseConnections()
+	d.forwarder.Leave(ctx)
 	sleeper.Sleep(ctx, drainDelay)
 	err := errors.Wrap(d.servers.Shutdown(ctx), "Distributor.Stop")
 	d.cancel()
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/finisher"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
@@ -62,13 +63,14 @@
 	body   []byte
 }
 
-// setDeadline sets the deadline to the shorter of the route's timeout and the caller's own.
+// setDeadline sets the deadline to the shorter of the route's timeout and the caller's own, within the time that is left
+// if the entry shuts down.
 func (x *exchange) setDeadline() {
 	limit := x.route.Timeout
 	if limit == 0 {
 		limit = defaultTimeout
 	}
-	x.deadline = x.started.Add(x.callerTimeout(limit))
+	x.deadline = x.f.finisher.Bound(x.started.Add(x.callerTimeout(limit)))
 }
 
 // callerTimeout returns the shorter of a timeout and the caller's own.
@@ -258,6 +260,8 @@
 		x.refuse(foxtailwharf.OutcomeUnknown(x.unknownReason(ctx), "no upstream sent a complete answer"))
 	case errors.Is(context.Cause(ctx), errQuarantined):
 		x.refuse(quarantined(x.f.quarantinedFor(x)))
+	case errors.Is(context.Cause(ctx), finisher.ErrEnding):
+		x.refuse(foxtailwharf.NotRun(foxtailwharf.ReasonLeaving, "the entry is shutting down"))
 	case refusal != nil:
 		x.refuse(refusal)
 	default:
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/callerlimiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/finisher"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/requester"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
@@ -53,6 +54,7 @@
 	c         Config
 	collector *collector.Collector
 	discarder *discarder.Discarder
+	finisher  *finisher.Finisher
 	state     atomic.Pointer[state]
 	leaving   atomic.Bool
 
@@ -88,6 +90,7 @@
 		c:         c,
 		collector: collector.New(collector.Config{MaxAnswer: maxAnswerBytes, MaxTotal: maxAnswersBytes, Unshared: unsharedAnswerBytes}),
 		discarder: discarder.New(discarder.Config{Log: c.Log}),
+		finisher:  finisher.New(),
 		retries:   retrylimiter.New(c.RetryBudget, time.Now()),
 		isolator:  isolator.New(isolator.Config{}),
 		pending:   make(map[*exchange]bool),
@@ -150,11 +153,12 @@
 	return f.returner.Delay(time.Now(), service, left)
 }
 
-// CloseConnections makes the forwarder close each caller's connection after the next answer, and spend
-// little time on the bodies of refused calls.
-func (f *Forwarder) CloseConnections() {
+// Leave makes the forwarder close each caller's connection after the next answer, and spend little time on the bodies
+// of refused calls. Calls are answered before the deadline of ctx, also those that are in progress then.
+func (f *Forwarder) Leave(ctx context.Context) {
 	f.leaving.Store(true)
 	f.discarder.Leave()
+	f.finisher.Begin(ctx)
 }
 
 // isFresh reports whether the configuration is proven recent enough to check API keys against.
@@ -188,6 +192,7 @@
 	defer cancel()
 	ctx, x.cancel = context.WithCancelCause(ctx)
 	defer x.cancel(nil)
+	defer f.finisher.Bind(x.cancel)()
 	x.run(ctx)
 }
 
--- a/internal/request/forwarder/unread_test.go
+++ b/internal/request/forwarder/unread_test.go
@@ -320,7 +320,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.forwarder.CloseConnections()
+	b.forwarder.Leave(b.t.Context())
 	ctx, cancel := context.WithTimeout(t.Context(), atOnce)
 	defer cancel()
 	if err := e.server.Shutdown(ctx); err != nil {
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -158,11 +158,16 @@
 	return nil
 }
 
+// PlainAddress returns the address of an upstream of the plain service, which tests may serve.
+func (f *Fleet) PlainAddress(index int) netip.AddrPort {
+	return netip.AddrPortFrom(machineAddress(kindPlain, index), enginePort)
+}
+
 // plainUpstream returns an upstream of the plain service.
 func (f *Fleet) plainUpstream(index int) foxtailwharf.Upstream {
 	return foxtailwharf.Upstream{
 		ID: fmt.Sprintf("plain-%d", index), Service: plainService, FailureDomain: f.failureDomain(index), Slots: f.c.Slots,
-		Address: netip.AddrPortFrom(machineAddress(kindPlain, index), enginePort), Born: f.createdAt,
+		Address: f.PlainAddress(index), Born: f.createdAt,
 	}
 }
 
