Calls in progress at the end of the graceful shutdown of an entry of the own interface are answered

What callers would see: the same as at entries of listed fleets: a connection that closes with no answer, also for a call with a key. Cause: the relayer knew the route's timeout alone. Change: the end of the shutdown bounds the deadline and cancels what is in progress (finisher). Evidence: TestCallsAtEndOfEntrysGrace failed (two calls of 8 s got EOF, the entry stopped with an error) and passes. Agents already wait for their answers; what they cut at the end their entries answer.

--- a/internal/process/receiver/callers.go
+++ b/internal/process/receiver/callers.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -220,7 +221,7 @@
 		Accept:      q.Header.Get("Accept"),
 		Body:        body,
 		Cost:        route.Cost,
-		Deadline:    time.Now().Add(route.Timeout),
+		Deadline:    r.finisher.Bound(time.Now().Add(route.Timeout)),
 		ForwardsKey: service.ForwardsKey,
 	}
 }
@@ -237,7 +238,10 @@
 		r.refuse(w, r.relayer.ExtendRefusal(q.Context(), request, refusal))
 		return
 	}
-	cost, refusal := r.relayer.Relay(q.Context(), w, request)
+	ctx, cancel := context.WithCancelCause(q.Context())
+	defer cancel(nil)
+	defer r.finisher.Bind(cancel)()
+	cost, refusal := r.relayer.Relay(ctx, w, request)
 	r.correctUsage(caps, cost-request.Cost)
 	if refusal != nil {
 		r.refuse(w, refusal)
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/finisher"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/messenger"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/gossiper"
@@ -68,6 +69,7 @@
 	client      *messenger.Client
 	messages    *messenger.Server
 	discarder   *discarder.Discarder
+	finisher    *finisher.Finisher
 	meter       *meter.Meter
 	servers     []*server.Server
 	cancel      context.CancelFunc
@@ -89,6 +91,7 @@
 		client:      messenger.NewClient(c.Network),
 		messages:    messenger.NewServer(),
 		discarder:   discarder.New(discarder.Config{Log: c.Log}),
+		finisher:    finisher.New(),
 		platform:    storer.New(storer.Config{Network: c.Platform, Address: s.Common.Platform, Timeout: s.Common.PlatformTimeout}),
 		ticketer:    ticketer.New(s.TicketSecret),
 		admitter:    admitter.New(admitter.Config{UsageTTL: usageTTL}),
@@ -259,11 +262,12 @@
 }
 
 // Stop shuts down gracefully: the health check fails at once, new requests are accepted for the
-// Notice time so that the load balancer can react, and then requests in progress finish. It
-// returns an error if the context ends before the last one has finished.
+// Notice time so that the load balancer can react, and then requests in progress finish. Those that are in progress at
+// the end of the context are answered before. It returns an error if the context ends before the last one has finished.
 func (r *Receiver) Stop(ctx context.Context) error {
 	r.c.Log.Info("entry: shutting down")
 	r.isLeaving.Store(true)
+	r.finisher.Begin(ctx)
 	r.gossiper.Update(func(self *foxtailwharf.Instance) { self.IsLeaving = true })
 	r.gossiper.Announce(ctx)
 	sleeper.Sleep(ctx, r.c.Settings.Notice)
--- a/standin/fleet/once_test.go
+++ b/standin/fleet/once_test.go
@@ -335,3 +335,38 @@
 		service.ServeHTTP(w, r)
 	})
 }
+
+// TestCallsAtEndOfEntrysGrace guards against calls that are cut with no answer at the end of an entry's graceful
+// shutdown.
+func TestCallsAtEndOfEntrysGrace(t *testing.T) {
+	t.Parallel()
+	const grace = 5 * time.Second
+	for _, latency := range []time.Duration{time.Second, 8 * time.Second} {
+		t.Run(latency.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, benchConfig{})
+				b.setServiceFaults(standin.ServiceFaults{Latency: latency})
+				stopAt := time.Now().Add(2 * time.Second)
+				var callers sync.WaitGroup
+				for n, offset := range []time.Duration{-time.Second, -100 * time.Millisecond, 0} {
+					callers.Go(func() {
+						time.Sleep(time.Until(stopAt.Add(offset)))
+						a := b.reserve(fmt.Sprint("k", n), "body")
+						isDone := latency < grace
+						if a.err != nil || isDone != (a.status == http.StatusOK) || (!isDone && a.status < http.StatusInternalServerError) {
+							t.Errorf("a call %s after the signal got status %d, error %v", offset, a.status, a.err)
+						}
+					})
+				}
+				time.Sleep(time.Until(stopAt))
+				ctx, cancel := context.WithTimeout(t.Context(), grace)
+				defer cancel()
+				if err := b.f.Entries[0].Stop(ctx); err != nil {
+					t.Errorf("the entry stopped with calls in progress: %v", err)
+				}
+				callers.Wait()
+				b.stop()
+			})
+		})
+	}
+}
