A store that comes back from an older copy proves no configuration the newest at once

What callers saw (soak, and TestRevocationLostInRestore): a call with a key ran 5.2 s after the key was revoked. The store had acknowledged the revocation while it answered no entry, came back without it, and got it again 0.2 s later. Cause: an answer after a restore counted as proof that keys are current, though what had been acknowledged may be missing until operators have written theirs again. Class: an answer is taken to prove more than the one who gives it knows. Change: for two seconds after an entry has noticed a restore, the store's answers are no proof. What was proved before goes on to count for its time, so that keys are refused only after an outage of some seconds. Remains: an entry that starts after the restore cannot know of it, and takes the copy for current.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -58,6 +58,8 @@
 	// gracePeriod is how long upstreams whose records expired during an outage have to return.
 	// The users agreed to this time.
 	gracePeriod = 2 * time.Second
+	// rewritePeriod is the same for what operators have written and an older copy of the store lacks.
+	rewritePeriod = 2 * time.Second
 )
 
 // Clock returns a monotonic time with an arbitrary start that also advances while the machine is
@@ -99,6 +101,7 @@
 	outageEnd      time.Duration                             // end of the last outage, by the clock; 0 for none
 	calls          map[foxtailwharf.FleetSubject]pendingCall // in progress
 	restores       int                                       // how often the store has come back from an older copy
+	provesFrom     time.Duration                             // by the clock; answers before it prove no configuration the newest
 	goneRuns       map[string]goneRun                        // removed upstreams, by ID
 	held           map[string]heldUpstream                   // by ID
 	leaving        map[string]time.Time                      // starts of runs that are leaving, as other entries have reported, by ID
@@ -179,11 +182,13 @@
 }
 
 // noteRestore records that the store has come back from an older copy, and ends the calls of the other
-// subjects, so that they read theirs again.
+// subjects, so that they read theirs again. The copy may lack a configuration that was acknowledged and that no
+// entry has seen, so that it proves nothing until operators have written theirs again.
 func (f *Follower) noteRestore(name foxtailwharf.FleetSubject) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.restores++
+	f.provesFrom = f.c.Clock() + rewritePeriod
 	f.outageEnd = f.c.Clock() // upstreams that are newer than the copy have to register again
 	f.c.Log.Info("store: came back from an older copy; reading all subjects again", zap.String("Subject", string(name)))
 	for other, call := range f.calls {
@@ -242,7 +247,9 @@
 	defer f.mu.Unlock()
 	switch subject {
 	case foxtailwharf.SubjectConfiguration:
-		f.applyConfiguration(p.Configuration, asked)
+		if f.takeConfiguration(p.Configuration) && asked >= f.provesFrom {
+			f.confirm(asked)
+		}
 	case foxtailwharf.SubjectUpstreams:
 		f.applyUpstreams(p, isWhole)
 		f.base = Position{}
@@ -255,19 +262,13 @@
 	f.publish()
 }
 
-// applyConfiguration takes over a newer configuration, and the proof that the one in force was the
-// newest at the time asked.
-func (f *Follower) applyConfiguration(c *foxtailwharf.Configuration, asked time.Duration) {
+// takeConfiguration takes over a newer configuration. It reports whether there is one, and none in force is newer than c.
+func (f *Follower) takeConfiguration(c *foxtailwharf.Configuration) bool {
 	if c != nil && (f.view.Configuration == nil || c.Version > f.view.Configuration.Version) {
 		f.view.Configuration = c
 		f.c.Log.Info("store: new configuration in force", zap.Int64("Version", c.Version), zap.Int("Routes", len(c.Routes)))
 	}
-	if f.view.Configuration == nil || (c != nil && c.Version < f.view.Configuration.Version) {
-		return
-	}
-	if !f.view.HasProof || asked > f.view.ConfiguredAt {
-		f.view.ConfiguredAt, f.view.HasProof = asked, true
-	}
+	return f.view.Configuration != nil && (c == nil || c.Version >= f.view.Configuration.Version)
 }
 
 // maxReleases is the number of releases kept for a model. The newest is not enough: each replaces the
@@ -311,7 +312,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.HasProof && s.Configuration != nil {
-		f.applyConfiguration(s.Configuration, s.ConfiguredAt)
+		f.takeConfiguration(s.Configuration)
 	}
 	if s.HasProof && f.view.Version() == s.Version {
 		f.confirm(s.ConfiguredAt)
