An answer that ran nothing clears no request that crashes engines

Cause: any whole answer below 500 counted as proof that the request is sound. Change: only a 2xx answer does, of a stream one with an event. Evidence: TestAnswerThatRanNothingClearsNoSuspicion failed in its three cases (five upstreams crashed, want 3) and passes.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -260,8 +260,8 @@
 	}
 	if a.answer.Status < http.StatusMultipleChoices {
 		a.begin()
+		a.x.f.clearSuspicion(a.x.request)
 	}
-	a.x.f.clearSuspicion(a.x.request)
 	return delivered, balancer.Answered
 }
 
--- a/internal/request/forwarder/partban_test.go
+++ b/internal/request/forwarder/partban_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,3 +106,43 @@
 		}
 	})
 }
+
+// TestAnswerThatRanNothingClearsNoSuspicion guards against a request that crashes upstreams and is free again after an answer
+// that shows nothing of what it does: a failure of the caller's, a redirect, or a stream that ends without an event.
+func TestAnswerThatRanNothingClearsNoSuspicion(t *testing.T) {
+	tests := []struct {
+		name, path string
+		answer     http.HandlerFunc
+	}{
+		{"not found", "/look/crash", text(http.StatusNotFound, "no")},
+		{"redirect", "/look/crash", text(http.StatusTemporaryRedirect, "")},
+		{"stream without an event", "/chat/crash", text(http.StatusOK, "")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				var runs, crashed atomic.Int64
+				for n := 2; n < 12; n++ {
+					var hasCrashed atomic.Bool
+					b.upstream(n, func(w http.ResponseWriter, r *http.Request) {
+						if runs.Add(1) == 3 {
+							tt.answer(w, r)
+							return
+						}
+						if !hasCrashed.Swap(true) {
+							crashed.Add(1)
+						}
+						breakOff(w, r)
+					})
+				}
+				for range 10 {
+					b.call(tt.path, nil)
+					b.weigh(isolator.RoleDecides, time.Minute)
+				}
+				if have := crashed.Load(); have != 3 {
+					t.Errorf("the request crashed %d upstreams in %d runs, want 3", have, runs.Load())
+				}
+			})
+		})
+	}
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -102,7 +102,9 @@
 			// net/http writes the end, and the head of a stream without events, once the handler has returned.
 			x.boundWrite()
 			x.beginStream(a.answer.Status, header)
-			x.f.clearSuspicion(x.request)
+			if a.hasEvent.Load() {
+				x.f.clearSuspicion(x.request)
+			}
 			return delivered, balancer.Answered
 		case err != nil:
 			return a.handleBroken(ctx, err)
