Isolator in files by job; names for suspects of both kinds

Crashes, weighing and requests have files of their own. A suspect with too few crashes is left out of the weighing at once, since a failure of many engines makes thousands of them; a request is named by 16 digits of its digest, to keep messages short. Tests of forwarder and isolator, and those of crashes in the simulator, pass; linter clean.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -260,8 +260,8 @@
 	}
 	if a.answer.Status < http.StatusMultipleChoices {
 		a.begin()
-		a.x.f.clearSuspicion(a.x.request)
 	}
+	a.clearSuspicion()
 	return delivered, balancer.Answered
 }
 
@@ -288,6 +288,14 @@
 	a.x.f.recordBegin(a.x.call.PromptParts)
 }
 
+// clearSuspicion records that the answer was complete, so that the request crashes no upstream. One that has not begun
+// shows nothing.
+func (a *attempt) clearSuspicion() {
+	if a.hasEvent.Load() {
+		a.x.f.clearSuspicion(a.x.request)
+	}
+}
+
 // isNotRunStatus reports whether callers take a status as a promise that the call has not run and
 // will not. Such a status of an upstream that may have run the call is not forwarded.
 func isNotRunStatus(status int) bool {
--- a/internal/request/forwarder/partban_test.go
+++ b/internal/request/forwarder/partban_test.go
@@ -121,28 +121,36 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			run(t, func(b *bench) {
-				var runs, crashed atomic.Int64
-				for n := 2; n < 12; n++ {
-					var hasCrashed atomic.Bool
-					b.upstream(n, func(w http.ResponseWriter, r *http.Request) {
-						if runs.Add(1) == 3 {
-							tt.answer(w, r)
-							return
-						}
-						if !hasCrashed.Swap(true) {
-							crashed.Add(1)
-						}
-						breakOff(w, r)
-					})
-				}
+				crashed := b.crashUnless(3, tt.answer)
 				for range 10 {
 					b.call(tt.path, nil)
 					b.weigh(isolator.RoleDecides, time.Minute)
 				}
 				if have := crashed.Load(); have != 3 {
-					t.Errorf("the request crashed %d upstreams in %d runs, want 3", have, runs.Load())
+					t.Errorf("the request crashed %d upstreams, want 3", have)
 				}
 			})
 		})
 	}
 }
+
+// crashUnless adds upstreams that crash under each call but the one with a number, which gets an answer. It returns the
+// number of upstreams that have crashed.
+func (b *bench) crashUnless(number int64, answer http.HandlerFunc) (crashed *atomic.Int64) {
+	var runs atomic.Int64
+	crashed = &atomic.Int64{}
+	for n := 2; n < 12; n++ {
+		var hasCrashed atomic.Bool
+		b.upstream(n, func(w http.ResponseWriter, r *http.Request) {
+			if runs.Add(1) == number {
+				answer(w, r)
+				return
+			}
+			if !hasCrashed.Swap(true) {
+				crashed.Add(1)
+			}
+			breakOff(w, r)
+		})
+	}
+	return crashed
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -102,9 +102,7 @@
 			// net/http writes the end, and the head of a stream without events, once the handler has returned.
 			x.boundWrite()
 			x.beginStream(a.answer.Status, header)
-			if a.hasEvent.Load() {
-				x.f.clearSuspicion(x.request)
-			}
+			a.clearSuspicion()
 			return delivered, balancer.Answered
 		case err != nil:
 			return a.handleBroken(ctx, err)
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -13,41 +13,13 @@
 )
 
 const (
-	// settleTime is how long a crash waits for proofs, from when it was heard of, before it counts.
-	settleTime = 300 * time.Millisecond
-	// unconfirmedTime is how long broken connections wait for word that the engine has ended before they count as a
-	// crash under the requests that were in flight. Plain services have no agents that would tell.
-	unconfirmedTime = 600 * time.Millisecond
-	// crashGap is the time after a crash within which further ones are not apart from it: a failure of
-	// many engines at once has another cause than a call.
-	crashGap = 150 * time.Millisecond
-	// requestGap is the same for crashes under a request: one that is tried again does not reach another engine and
-	// crash it within that time.
-	requestGap = 40 * time.Millisecond
-	// requestWindow is the time before the first crash under a request, and after the last one, in which crashes under
-	// others tell of another cause: few requests are in flight on several of many engines that fail one by one.
-	requestWindow = time.Second
 	// likelyCrashes is the number of crashes at which a part that was never seen to be sound is likely to
 	// be bad.
 	likelyCrashes = 2
 	// defaultCrashesToBan is the default of Config.CrashesToBan.
 	defaultCrashesToBan = 3
-	// minCoverage is the fraction of all crashes meanwhile of which a suspect must be one to be banned after
-	// CrashesToBan crashes apart from each other.
-	minCoverage = 0.5
-	// certainCrashes is the number of crashes that isolate a suspect whatever other engines crash: a sound call seldom
-	// runs on one engine after the other that fails before it has begun. Crashes at once do, if it is a suspect of
-	// burstCoverage of them.
-	certainCrashes = 5
-	burstCoverage  = 0.9
-	// crashesToRefine is the number of crashes under a part of a ban, of calls that the ban does not
-	// cover, at which the part is banned by itself.
-	crashesToRefine = 2
 	// crashSends is how often a crash is sent to the other entries, since a message may be lost.
 	crashSends = 3
-	// maxCrashes bounds the crashes that are remembered, and maxParts the suspects of each.
-	maxCrashes = 1000
-	maxParts   = 256
 )
 
 // Config holds the settings of an Isolator. Defaults replaces zero values.
@@ -91,19 +63,6 @@
 	unsent   unsent
 }
 
-// crash is the end of an engine and its suspects. Broken connections alone, which only requests in flight are held
-// against, may have another cause.
-type crash struct {
-	at           time.Time       // when it ended; zero if only connections have broken
-	heardAt      time.Time       // when this entry first heard that it ended
-	brokeAt      time.Time       // when connections to it broke with requests in flight; zero if none did
-	brokeHeardAt time.Time       // when this entry first heard of that
-	own          map[string]bool // suspects among this entry's own calls
-	suspects     map[string]bool
-	begun        map[string]bool // requests among the suspects that had begun to be answered
-	isExplained  bool            // a ban covers it; its suspects are those of the ban
-}
-
 // unsent is what TakeUnsent has not returned.
 type unsent struct {
 	crashes map[string]int  // how often each is still to be sent, by incarnation
@@ -160,59 +119,6 @@
 	return c != nil && !c.at.IsZero()
 }
 
-// addCrash returns the crash of an engine, which it adds if it is not known.
-func (i *Isolator) addCrash(now, at time.Time, upstream string) *crash {
-	c := i.record(upstream)
-	if c.at.IsZero() {
-		c.heardAt = now
-		i.unsent.relayed[upstream] = true
-	}
-	if c.at.IsZero() || at.Before(c.at) {
-		c.at = at
-	}
-	return c
-}
-
-// record returns what is known of the end of an engine. The oldest crash is dropped if there are too many.
-func (i *Isolator) record(upstream string) *crash {
-	c := i.crashes[upstream]
-	if c == nil {
-		if len(i.crashes) >= maxCrashes {
-			i.dropOldest()
-		}
-		c = &crash{own: make(map[string]bool), suspects: make(map[string]bool), begun: make(map[string]bool)}
-		i.crashes[upstream] = c
-	}
-	return c
-}
-
-func (i *Isolator) dropOldest() {
-	oldest := ""
-	for upstream, c := range i.crashes {
-		if oldest == "" || c.newest().Before(i.crashes[oldest].newest()) {
-			oldest = upstream
-		}
-	}
-	i.dropCrash(oldest)
-}
-
-// newest returns when the engine ended, or when connections to it broke if that was later.
-func (c *crash) newest() time.Time {
-	if c.brokeAt.After(c.at) {
-		return c.brokeAt
-	}
-	return c.at
-}
-
-// when returns the time of the crash for a kind of suspect. It is zero for parts of prompts if only connections
-// have broken.
-func (c *crash) when(isRequest bool) time.Time {
-	if isRequest && !c.brokeAt.IsZero() {
-		return c.brokeAt
-	}
-	return c.at
-}
-
 // addSuspect adds a part to the suspects of a crash. It returns false if a ban explains the crash, if a
 // later call has proved the part sound, which the others may not know, and if there are too many suspects.
 func (i *Isolator) addSuspect(c *crash, upstream, part string) bool {
@@ -290,216 +196,6 @@
 	return !IsRequest(part) && !i.begun.last(part).IsZero()
 }
 
-// Decide bans what the evidence isolates: the parts that it cannot tell apart, and with them only calls
-// that have them all. It returns the new bans. A ban explains all crashes under its parts, which are then
-// no longer held against the other parts of the same calls.
-func (i *Isolator) Decide(now time.Time) (banned []Ban) {
-	i.expire(now)
-	for {
-		best, isFound := i.isolate(now)
-		if !isFound {
-			return banned
-		}
-		b := i.addBan(i.inseparable(best), now.Add(i.c.BanTime), best.last)
-		i.unsent.bans[b.key()] = true
-		banned = append(banned, b.report(now))
-	}
-}
-
-// inseparable returns a candidate with all suspects of the same crashes. Parts that were seen to be sound are left
-// out, unless the candidate itself was. Since a call is one request only, so are others than the candidate, and
-// several.
-func (i *Isolator) inseparable(c candidate) (suspects []string) {
-	var requests []string
-	for suspect := range i.suspects {
-		switch {
-		case suspect == c.part || !i.isInAll(suspect, c.part):
-		case IsRequest(suspect):
-			requests = append(requests, suspect)
-		case !i.hasBegun(suspect) || c.hasBegun:
-			suspects = append(suspects, suspect)
-		}
-	}
-	suspects = append(suspects, c.part)
-	if len(requests) == 1 && !IsRequest(c.part) {
-		suspects = append(suspects, requests[0])
-	}
-	slices.Sort(suspects)
-	return suspects
-}
-
-// isInAll reports whether a suspect is one of all crashes of which another one is.
-func (i *Isolator) isInAll(suspect, other string) bool {
-	for upstream := range i.suspects[other] {
-		if !i.suspects[suspect][upstream] {
-			return false
-		}
-	}
-	return true
-}
-
-func (i *Isolator) dropCrash(upstream string) {
-	if c := i.crashes[upstream]; c != nil {
-		for part := range maps.Clone(c.suspects) {
-			i.forget(part, upstream)
-		}
-	}
-	delete(i.crashes, upstream)
-	delete(i.unsent.crashes, upstream)
-	delete(i.unsent.breaks, upstream)
-	delete(i.unsent.relayed, upstream)
-}
-
-// candidate is a suspect that the evidence may isolate.
-type candidate struct {
-	part     string
-	crashes  int
-	hasBegun bool
-	last     time.Time
-}
-
-// isolate returns the suspect that the evidence isolates best.
-func (i *Isolator) isolate(now time.Time) (best candidate, isFound bool) {
-	for part := range i.suspects {
-		c, isCandidate := i.candidate(now, part)
-		if isCandidate && (!isFound || isBetter(c, best)) {
-			best, isFound = c, true
-		}
-	}
-	return best, isFound
-}
-
-// candidate returns what is held against a suspect; false if that is too little for a ban.
-func (i *Isolator) candidate(now time.Time, part string) (c candidate, isCandidate bool) {
-	c = candidate{part: part, hasBegun: i.hasBegun(part)}
-	isRequest := IsRequest(part)
-	var times crashTimes
-	isNew, unexplained := true, 0
-	for upstream := range i.suspects[part] {
-		crashed := i.crashes[upstream]
-		if !crashed.isSettled(now, isRequest) {
-			continue
-		}
-		times.add(crashed, part)
-		if crashed.isExplained {
-			isNew = false
-		} else {
-			unexplained++
-		}
-	}
-	if len(times.all) < i.c.CrashesToBan || unexplained == 0 || (!isNew && unexplained < crashesToRefine) {
-		return c, false
-	}
-	times.sort()
-	c.crashes, c.last = len(times.all), times.last()
-	return c, i.isIsolated(c, times)
-}
-
-// crashTimes are the times of the crashes under a suspect.
-type crashTimes struct {
-	all   []time.Time
-	early []time.Time // of those at which no call with the suspect had begun to be answered
-}
-
-func (t *crashTimes) add(c *crash, suspect string) {
-	at := c.when(IsRequest(suspect))
-	t.all = append(t.all, at)
-	if !c.begun[suspect] {
-		t.early = append(t.early, at)
-	}
-}
-
-func (t *crashTimes) sort() {
-	slices.SortFunc(t.all, time.Time.Compare)
-	slices.SortFunc(t.early, time.Time.Compare)
-}
-
-func (t *crashTimes) last() time.Time {
-	return t.all[len(t.all)-1]
-}
-
-// isIsolated reports whether crashes are enough for a ban.
-func (i *Isolator) isIsolated(c candidate, times crashTimes) bool {
-	apart, coverage := countApart(times.early, gap(c.part)), i.coverage(c.part, times)
-	isCovered := apart >= i.c.CrashesToBan && coverage >= minCoverage
-	switch {
-	case c.hasBegun:
-		return c.crashes >= certainCrashes && isCovered
-	case isCovered || apart >= certainCrashes:
-		return true
-	default:
-		// Copies of one request crash engines at once.
-		return (IsRequest(c.part) || c.crashes >= certainCrashes) && coverage >= burstCoverage
-	}
-}
-
-// coverage returns the fraction of all crashes meanwhile of which a suspect is one.
-func (i *Isolator) coverage(part string, times crashTimes) float64 {
-	return float64(len(times.all)) / float64(max(i.crashesAround(times.all[0], times.last(), part), 1))
-}
-
-// isSettled reports whether a crash has waited for proofs, and one of which a request is a suspect also for word that
-// the engine has ended, which makes the parts of its prompt suspects.
-func (c *crash) isSettled(now time.Time, isRequest bool) bool {
-	isConfirmed := !c.at.IsZero() && now.Sub(c.heardAt) >= settleTime
-	if !isRequest {
-		return isConfirmed
-	}
-	broken := now.Sub(c.brokeHeardAt)
-	return (isConfirmed && broken >= settleTime) || broken >= unconfirmedTime
-}
-
-// crashesAround returns the number of crashes in a period and around it, but for those that another suspect may explain:
-// one that is banned, or another request under which several engines have crashed.
-func (i *Isolator) crashesAround(from, to time.Time, part string) (count int) {
-	around := crashGap
-	if IsRequest(part) {
-		around = requestWindow
-	}
-	from, to = from.Add(-around), to.Add(around)
-	for _, c := range i.crashes {
-		at := c.when(IsRequest(part))
-		isOther := c.isExplained || (IsRequest(part) && i.hasLikelyRequest(c))
-		if !at.Before(from) && !at.After(to) && (c.suspects[part] || !isOther) {
-			count++
-		}
-	}
-	return count
-}
-
-// gap returns the time after a crash within which further ones are not apart from it, for a suspect.
-func gap(suspect string) time.Duration {
-	if IsRequest(suspect) {
-		return requestGap
-	}
-	return crashGap
-}
-
-// countApart counts sorted times, those within a gap of the first as one.
-func countApart(times []time.Time, gap time.Duration) (count int) {
-	var first time.Time
-	for _, at := range times {
-		if count == 0 || at.Sub(first) > gap {
-			first = at
-			count++
-		}
-	}
-	return count
-}
-
-// isBetter reports whether the evidence against a is better than that against b: a suspect that was never
-// seen to be sound first, then more crashes.
-func isBetter(a, b candidate) bool {
-	switch {
-	case a.hasBegun != b.hasBegun:
-		return b.hasBegun
-	case a.crashes != b.crashes:
-		return a.crashes > b.crashes
-	default:
-		return a.part < b.part
-	}
-}
-
 // expire removes crashes and bans that are too old.
 func (i *Isolator) expire(now time.Time) {
 	for upstream, c := range i.crashes {
--- a/internal/request/isolator/request.go
+++ b/internal/request/isolator/request.go
@@ -12,7 +12,7 @@
 	// requestPrefix distinguishes requests from parts of prompts, whose names have no comma.
 	requestPrefix = "request,"
 	// requestDigits is the number of digits of a request's digest that identify it.
-	requestDigits = 24
+	requestDigits = 16
 	// holdTime is how long a request that has crashed CrashesToBan engines is refused before the evidence is weighed:
 	// until it has settled and the entries that decide have told their ban.
 	holdTime = time.Second
