--- a/internal/request/isolator/request.go
+++ b/internal/request/isolator/request.go
@@ -107,8 +107,7 @@
 }
 
 // Held returns how much longer a request is refused because it has crashed several engines just now, and the evidence
-// has not been weighed; 0 if it is not. One that is a
-// suspect of few of the crashes meanwhile is not.
+// has not been weighed; 0 if it is not. One that is a suspect of few of the crashes meanwhile is not.
 func (i *Isolator) Held(now time.Time, request string) time.Duration {
 	upstreams := i.suspects[request]
 	if len(upstreams) < i.c.CrashesToBan {
