Entries tell each other that the store came back from an older copy

Cause: an entry that relied on another one took over its revisions, which are those after the restore; when the other one's proof grew old, it read the store itself, could not notice the restore any more, and took the answer for a proof and the list for the newest. Change: an entry says how much longer the store's answers prove nothing; whoever hears that notes the restore, and goes on to rely on it meanwhile.

--- a/internal/process/delegator/delegator.go
+++ b/internal/process/delegator/delegator.go
@@ -99,6 +99,7 @@
 	IsRelying bool          // it relies on another entry itself
 	IsLost    bool          // the store does not answer it
 	IsNew     bool          // it has not read the store yet
+	IsInDoubt bool          // the store proves nothing for a while, to no entry
 }
 
 // HandleReply records a reply of an entry and reports whether it replaces a read of the store.
@@ -111,7 +112,7 @@
 	case reply.IsRelying:
 		d.exclude(now, from, relyingTime)
 		return false
-	case !reply.HasProof || reply.Age > maxProofAge || reply.IsLost:
+	case !reply.HasProof || (reply.Age > maxProofAge && !reply.IsInDoubt) || reply.IsLost:
 		d.HandleFailure(now, from)
 		return false
 	case isRelying && from == source:
--- a/internal/process/distributor/entries.go
+++ b/internal/process/distributor/entries.go
@@ -151,12 +151,21 @@
 	return answer, nil
 }
 
+// provesFrom returns when the store's answers prove something again; zero if they do.
+func provesFrom(answer wire.FleetAnswer, asked time.Duration) time.Duration {
+	if answer.DoubtMillis <= 0 {
+		return 0
+	}
+	return asked + time.Duration(answer.HeldMillis+answer.DoubtMillis)*time.Millisecond
+}
+
 // decodeAnswer decodes an answer. asked is the time by the local clock at which the query was sent.
 func decodeAnswer(answer wire.FleetAnswer, asked time.Duration) (state follower.PeerState, err error) {
 	state = follower.PeerState{
 		Version:      answer.Version,
 		ConfiguredAt: asked + time.Duration(answer.HeldMillis-answer.AgeMillis)*time.Millisecond,
 		HasProof:     answer.AgeMillis >= 0,
+		ProvesFrom:   provesFrom(answer, asked),
 		HasList:      answer.HasList,
 		IsWhole:      answer.IsWhole,
 		Gone:         answer.Gone,
@@ -201,6 +210,7 @@
 	if v.HasProof {
 		answer.AgeMillis = ceilMillis(now - v.ConfiguredAt)
 	}
+	answer.DoubtMillis = max((v.ProvesFrom - now).Milliseconds(), 0)
 	if q.WantsDocuments {
 		if err = d.addDocuments(&answer, q, v); err != nil {
 			return answer, err
--- a/internal/process/distributor/sourcepoller.go
+++ b/internal/process/distributor/sourcepoller.go
@@ -94,6 +94,7 @@
 		IsRelying: answer.IsRelying,
 		IsLost:    answer.IsLost,
 		IsNew:     answer.Version == 0,
+		IsInDoubt: answer.DoubtMillis > 0,
 	})
 }
 
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -101,7 +101,6 @@
 	outageEnd      time.Duration                             // end of the last outage, by the clock; 0 for none
 	calls          map[foxtailwharf.FleetSubject]pendingCall // in progress
 	restores       int                                       // how often the store has come back from an older copy
-	provesFrom     time.Duration                             // by the clock; answers before it prove no configuration the newest
 	goneRuns       map[string]goneRun                        // removed upstreams, by ID
 	held           map[string]heldUpstream                   // by ID
 	leaving        map[string]time.Time                      // starts of runs that are leaving, as other entries have reported, by ID
@@ -187,10 +186,9 @@
 func (f *Follower) noteRestore(name foxtailwharf.FleetSubject) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.restores++
-	f.provesFrom = f.c.Clock() + rewritePeriod
-	f.outageEnd = f.c.Clock() // upstreams that are newer than the copy have to register again
+	now := f.c.Clock()
 	f.c.Log.Info("store: came back from an older copy; reading all subjects again", zap.String("Subject", string(name)))
+	f.restore(now, now+rewritePeriod)
 	for other, call := range f.calls {
 		if other != name {
 			call.cancel(errRepeat)
@@ -198,6 +196,27 @@
 	}
 }
 
+// learnRestore records that another entry has noticed a restore, which this one cannot notice any more once it has
+// the revisions of the other one. It may know of that restore already. The lock must be held.
+func (f *Follower) learnRestore(provesFrom time.Duration) {
+	now := f.c.Clock()
+	switch {
+	case provesFrom <= now:
+	case now < f.view.ProvesFrom:
+		f.view.ProvesFrom = max(f.view.ProvesFrom, min(provesFrom, now+rewritePeriod))
+	default:
+		f.c.Log.Info("store: another entry says that it came back from an older copy")
+		f.restore(now, min(provesFrom, now+rewritePeriod))
+	}
+}
+
+// restore records a restore. The lock must be held.
+func (f *Follower) restore(now, provesFrom time.Duration) {
+	f.restores++
+	f.view.ProvesFrom = provesFrom
+	f.outageEnd = now // upstreams that are newer than the copy have to register again
+}
+
 // waitReachable blocks for the pause, or until the store answers again or ctx ends.
 func (f *Follower) waitReachable(ctx context.Context, pause time.Duration) {
 	f.mu.Lock()
@@ -247,7 +266,7 @@
 	defer f.mu.Unlock()
 	switch subject {
 	case foxtailwharf.SubjectConfiguration:
-		if f.takeConfiguration(p.Configuration) && asked >= f.provesFrom {
+		if f.takeConfiguration(p.Configuration) && asked >= f.view.ProvesFrom {
 			f.confirm(asked)
 		}
 	case foxtailwharf.SubjectUpstreams:
@@ -311,6 +330,7 @@
 func (f *Follower) Merge(s PeerState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.learnRestore(s.ProvesFrom)
 	if s.HasProof && s.Configuration != nil {
 		f.takeConfiguration(s.Configuration)
 	}
--- a/internal/process/follower/view.go
+++ b/internal/process/follower/view.go
@@ -19,6 +19,9 @@
 	Revisions    Revisions
 	// Sequence is incremented by each change of the list in this process.
 	Sequence uint64
+	// ProvesFrom is when answers of the store prove again that the configuration is the newest, by the clock; zero
+	// if the store has not come back from an older copy.
+	ProvesFrom time.Duration
 	// IsLost is set while the store does not answer this process about configurations.
 	IsLost      bool
 	HasReleases bool // the releases have been read at least once
@@ -74,6 +77,7 @@
 	Version      int64
 	ConfiguredAt time.Duration
 	HasProof     bool
+	ProvesFrom   time.Duration // as View.ProvesFrom, by the local clock
 	// If HasList is set, Upstreams and Gone hold the whole list (IsWhole) or the changes since
 	// the position named in the query.
 	HasList   bool
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -237,6 +237,10 @@
 	// of the store, up to which no newer configuration is known
 	ConfigurationRevision uint64 `json:"ConfigurationRevision,omitempty,omitzero"`
 
+	// how much longer the store's answers prove nothing, since it came back from an
+	// older copy
+	DoubtMillis int64 `json:"DoubtMillis,omitempty,omitzero"`
+
 	// listed upstreams that expired during an outage of the store and have a short
 	// time to return
 	Expiring []string `json:"Expiring,omitempty,omitzero"`
