An entry that reads the store for the first time after a restore notices it

Trace (logs of a run beside 16 busy processes): an entry that had relied on another one took over the reading while the store was away, so that its first call was a read of the whole, which does not name a revision; the store had come back meanwhile, and the entry took the copy for current 0.12 s before the revocation was written again. Cause: only watches noticed a restore. Change: a whole read compares eras as well, with the revision that others have told. Evidence: TestFirstReadAfterRestore failed first and passes.

--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -65,6 +65,42 @@
 	return b.clock() - b.follower.View().ConfiguredAt
 }
 
+// TestFirstReadAfterRestore guards against an entry that has the state of others from before a restore, reads the store
+// itself for the first time after it, and takes the older copy for current and complete.
+func TestFirstReadAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var isReading atomic.Bool
+		b := &bench{store: standin.NewFleetStore(), boot: &atomic.Int64{}, started: time.Now()}
+		b.follower = follower.New(follower.Config{
+			Store: b.store.View("a"), Clock: b.clock, OnChange: func(follower.View) {}, Log: zap.NewNop(),
+			IsDelegated: func() bool { return !isReading.Load() },
+		})
+		b.store.PutConfiguration(foxtailwharf.Configuration{Version: 3})
+		b.follower.Start(ctx)
+		time.Sleep(time.Second)
+		provedAt := b.clock()
+		b.follower.Merge(follower.PeerState{
+			Version: 3, Configuration: &foxtailwharf.Configuration{Version: 3}, HasProof: true, ConfiguredAt: provedAt,
+			Revisions: follower.Revisions{Configuration: 1, Upstreams: 1, Releases: 1},
+		})
+		b.store.Restore(b.store.Copy())
+		isReading.Store(true)
+		for range 20 {
+			time.Sleep(90 * time.Millisecond)
+			if have := b.follower.View().ConfiguredAt; have != provedAt {
+				t.Fatalf("the configuration counts as proved at %s, want %s: the store has just come back from an older copy", have, provedAt)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		if age := b.proofAge(); age > 2*time.Second {
+			t.Errorf("the proof is %s old, some time after the restore", age)
+		}
+		cancel()
+		b.follower.Wait()
+	})
+}
+
 func TestNoOlderConfiguration(t *testing.T) {
 	run(t, func(b *bench) {
 		b.store.PutConfiguration(foxtailwharf.Configuration{Version: 7})
--- a/internal/process/follower/subjectpoller.go
+++ b/internal/process/follower/subjectpoller.go
@@ -97,6 +97,10 @@
 	if err != nil {
 		return err
 	}
+	if isWhole && !isRestored && foxtailwharf.IsFromEarlierEra(after, p.Revision) {
+		s.f.noteRestore(s.name)
+		return nil
+	}
 	s.recordAnswer()
 	isChanged := p.Configuration != nil || len(p.Upstreams)+len(p.Gone)+len(p.Releases) > 0
 	s.needsFullRead, s.restores = false, restores
--- a/standin/fleetstore.go
+++ b/standin/fleetstore.go
@@ -36,9 +36,6 @@
 	calls             map[string]int // number of calls by view
 }
 
-// eraShift places the era above the store's own revision, so that revisions of a later era are higher.
-const eraShift = 44
-
 // answerOf returns a page, unless it is of another era than the caller knows.
 func answerOf(p foxtailwharf.FleetPage, era, knownEra uint64) (foxtailwharf.FleetPage, error) {
 	if era != knownEra {
@@ -235,7 +232,7 @@
 	}
 	p, _ := v.s.pageSince(subject, 0)
 	p.Gone = nil
-	p.Revision |= v.s.era << eraShift
+	p.Revision |= v.s.era << foxtailwharf.EraShift
 	return p, nil
 }
 
@@ -277,8 +274,8 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	knownEra := after >> eraShift
-	after &= 1<<eraShift - 1
+	knownEra := after >> foxtailwharf.EraShift
+	after &= 1<<foxtailwharf.EraShift - 1
 	for {
 		v.s.mu.Lock()
 		if v.s.unavailable[v.name] {
@@ -294,7 +291,7 @@
 			return foxtailwharf.FleetPage{}, foxtailwharf.ErrHistoryGone
 		}
 		p, isChanged := v.s.pageSince(subject, after)
-		p.Revision |= era << eraShift
+		p.Revision |= era << foxtailwharf.EraShift
 		changed := v.s.changed
 		v.s.mu.Unlock()
 		if isChanged {
