--- a/internal/request/isolator/request.go
+++ b/internal/request/isolator/request.go
@@ -177,7 +177,7 @@
 	return e
 }
 
-// reportBreak returns what is told of the end of an engine under some requests.
+// reportBreak returns the crash of an engine as it is sent to other entries, with some of its suspected requests.
 func (c *crash) reportBreak(now time.Time, upstream string, requests []string) Crash {
 	b := Crash{Upstream: upstream, Age: now.Sub(c.when(true))}
 	for _, request := range requests {
