--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,10 +79,11 @@
 	staged    map[int][]byte
 	isEndless bool // answers stage-get with bytes without end
 	endless   int  // how many such answers it has begun
+	requests  map[string]bool
 }
 
 func newEngine(r *rig, n int) *engine {
-	e := &engine{r: r, id: fmt.Sprintf("i-llm-%d", n+1), number: n, born: time.Now(), version: 1, staged: make(map[int][]byte)}
+	e := &engine{r: r, id: fmt.Sprintf("i-llm-%d", n+1), number: n, born: time.Now(), version: 1, staged: make(map[int][]byte), requests: make(map[string]bool)}
 	for number := range pieceCount {
 		e.staged[number] = piece(1, number)
 	}
@@ -209,33 +212,62 @@
 	}
 }
 
-// stream runs a request and writes three events.
+// streamTime is how long a stream lasts whose path does not say it.
+const streamTime = 60 * time.Millisecond
+
+// stream runs a request and writes events for as long as the last element of its path says, in milliseconds.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	id := r.Header.Get("Foxtailwharf-Request-Id")
 	w.Header().Set("Foxtailwharf-Request-Id", id)
-	e.mu.Lock()
-	version := e.version
-	e.mu.Unlock()
 	if r.Header.Get("Foxtailwharf-Expect-Instance") != e.id {
-		w.Header().Set("Foxtailwharf-Not-Executed", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		reject(w, http.StatusMisdirectedRequest)
 		return
 	}
+	version := e.held()
+	e.note(id)
 	e.r.log("%s runs %s with version %d", e.id, id, version)
 	w.Header().Set("Foxtailwharf-Response-Signature", "s-"+id)
 	w.Header().Set("Foxtailwharf-Weight-Versions", strconv.Itoa(version))
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= 3; n++ {
-		time.Sleep(20 * time.Millisecond)
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n); err != nil || http.NewResponseController(w).Flush() != nil {
+	length := streamTime
+	if ms, err := strconv.Atoi(path.Base(r.URL.Path)); err == nil {
+		length = time.Duration(ms) * time.Millisecond
+	}
+	pause := min(length/3, streamPause)
+	end := time.Now().Add(length)
+	for n := 1; ; n++ {
+		time.Sleep(pause)
+		word := strconv.Itoa(n)
+		if !time.Now().Before(end) {
+			word = "last"
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", n, id, word); err != nil || http.NewResponseController(w).Flush() != nil {
+			e.r.log("%s ends %s before its last event", e.id, id)
+			return
+		}
+		if word == "last" {
 			return
 		}
 	}
 }
 
+// note records that a request runs.
+func (e *engine) note(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.requests[id] = true
+}
+
+// ran returns the requests that have run.
+func (e *engine) ran() map[string]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.requests)
+}
+
 // modelConfig returns a configuration with a model service.
 func (r *rig) modelConfig(version int) map[string]any {
 	return map[string]any{
@@ -316,7 +348,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return response.StatusCode, err == nil && strings.Contains(string(body), id+" 3")
+	return response.StatusCode, err == nil && strings.Contains(string(body), id+" last")
 }
 
 func (e *engine) setEndless(isEndless bool) {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +27,7 @@
 	"endless":  runEndless,
 	"bodies":   runBodies,
 	"popular":  runPopular,
+	"stop":     runStop,
 }
 
 func main() {
@@ -43,12 +46,17 @@
 		return exitFailed
 	}
 	defer r.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	ended := make(chan int, 1)
 	c := &caseRun{r: r, play: play, ended: ended}
 	go c.run()
 	select {
 	case code := <-ended:
 		return code
+	case s := <-signals:
+		r.log("the case was ended by a signal: %s", s)
+		return exitFailed
 	case <-time.After(runLimit):
 		r.log("the case has not ended after %s", runLimit)
 		return exitFailed
