--- a/review/rig/endless.go
+++ b/review/rig/endless.go
@@ -5,7 +5,7 @@
 // Bounds of the case "endless".
 const (
 	sideMemory    = 152 << 20 // memory-mb of a side machine
-	troubleLength = 6500 * time.Millisecond
+	troubleLength = 8 * time.Second
 )
 
 // runEndless lets two engines answer the reads of their staged pieces with bytes without end while new weights are
