--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -70,9 +70,12 @@
 	r      *rig
 	id     string
 	number int
-	born   time.Time
+	server *http.Server
+	// firstEvent is the time until the first event of a stream.
+	firstEvent time.Duration
 
 	mu        sync.Mutex
+	born      time.Time
 	version   int // that it holds
 	isBusy    bool
 	sequence  int
@@ -83,7 +86,7 @@
 }
 
 func newEngine(r *rig, n int) *engine {
-	e := &engine{r: r, id: fmt.Sprintf("i-llm-%d", n+1), number: n, born: time.Now(), version: 1, staged: make(map[int][]byte), requests: make(map[string]bool)}
+	e := &engine{r: r, id: fmt.Sprintf("i-llm-%d", n+1), number: n, version: 1, staged: make(map[int][]byte), requests: make(map[string]bool)}
 	for number := range pieceCount {
 		e.staged[number] = piece(1, number)
 	}
@@ -93,14 +96,43 @@
 // register writes the engine's entry of the store's list.
 func (e *engine) register() {
 	e.mu.Lock()
-	version := e.version
-	e.mu.Unlock()
-	e.r.store.put("servers", e.id, map[string]any{
+	defer e.mu.Unlock()
+	entry := map[string]any{
 		"service": "llm", "address": e.r.address(subnetSide, e.number, appOffset), "zone": zones[e.number%len(zones)], "version": "v1",
 		"slots": 16, "state": "ready", "cold-left-ms": 0, "sequence": 1, "born": e.born.UnixMilli(), "stage": "both",
-		"models": []any{map[string]any{"name": model, "version": version, "adapters": []any{}}},
-		"layers": map[string]any{"from": 0, "to": layerCount, "version": version},
-	})
+	}
+	e.addModels(entry)
+	e.r.store.put("servers", e.id, entry)
+}
+
+// addModels says what the engine holds. The lock must be held.
+func (e *engine) addModels(to map[string]any) {
+	if e.version == 0 {
+		to["models"], to["layers"] = []any{}, map[string]any{"from": 0, "to": 0, "version": 0}
+		return
+	}
+	to["models"] = []any{map[string]any{"name": model, "version": e.version, "adapters": []any{}}}
+	to["layers"] = map[string]any{"from": 0, "to": layerCount, "version": e.version}
+}
+
+// losePower ends the engine, which loses all that it holds and has staged.
+func (e *engine) losePower() {
+	_ = e.server.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version, e.isBusy, e.sequence, e.staged = 0, false, 0, make(map[int][]byte)
+}
+
+// start starts the engine.
+func (e *engine) start() (err error) {
+	e.mu.Lock()
+	e.born = time.Now()
+	e.mu.Unlock()
+	if e.server, err = e.r.serveAs(e.r.address(subnetSide, e.number, appOffset), e); err != nil {
+		return err
+	}
+	e.register()
+	return nil
 }
 
 // ServeHTTP serves the agent and the entries.
@@ -122,12 +154,12 @@
 func (e *engine) report(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply(w, map[string]any{
-		"stage": "both", "models": []any{map[string]any{"name": model, "version": e.version, "adapters": []any{}}},
-		"layers": map[string]any{"from": 0, "to": layerCount, "version": e.version},
-		"busy":   e.isBusy, "sequence": e.sequence, "queued": 0, "running": 0, "kv-used": 0, "kv-total": 317000, "handles": 0,
+	report := map[string]any{
+		"stage": "both", "busy": e.isBusy, "sequence": e.sequence, "queued": 0, "running": 0, "kv-used": 0, "kv-total": 317000, "handles": 0,
 		"born": e.born.UnixMilli(), "pace": 1.0,
-	})
+	}
+	e.addModels(report)
+	reply(w, report)
 }
 
 // order loads what is staged at this moment.
@@ -227,6 +259,10 @@
 		return
 	}
 	version := e.held()
+	if version == 0 {
+		reject(w, http.StatusServiceUnavailable)
+		return
+	}
 	e.note(id)
 	e.r.log("%s runs %s with version %d", e.id, id, version)
 	w.Header().Set("Foxtailwharf-Response-Signature", "s-"+id)
@@ -237,6 +273,7 @@
 		length = time.Duration(ms) * time.Millisecond
 	}
 	pause := min(length/3, streamPause)
+	time.Sleep(e.firstEvent)
 	end := time.Now().Add(length)
 	for n := 1; ; n++ {
 		time.Sleep(pause)
@@ -298,10 +335,9 @@
 	for n := range engines {
 		e := newEngine(r, n)
 		list = append(list, e)
-		if err := r.serve(r.address(subnetSide, n, appOffset), e); err != nil {
+		if err := e.start(); err != nil {
 			return nil, nil, nil, err
 		}
-		e.register()
 	}
 	r.store.put("config", "main", r.modelConfig(3))
 	for n := range entries + engines {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -232,6 +232,11 @@
 		return errors.New("the case has ended")
 	}
 	p.starts++
+	if p.starts == 2 {
+		if err := p.endFirstStart(); err != nil {
+			return err
+		}
+	}
 	log, err := os.Create(filepath.Join(p.r.temp, fmt.Sprintf("%s-%d.log", p.name, p.starts)))
 	if err != nil {
 		return err
@@ -251,6 +256,15 @@
 	return nil
 }
 
+// endFirstStart says in the settings that the system doesn't start for the first time any more.
+func (p *process) endFirstStart() error {
+	text, err := os.ReadFile(p.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.settings, bytes.Replace(text, []byte("IsFirstStart: true"), []byte("IsFirstStart: false"), 1), 0o600)
+}
+
 // waiter waits for the end of a process.
 type waiter struct {
 	cmd   *exec.Cmd
