Calls that may outlast a planned stop are refused as not run

A stream that was sent on a kept connection over 3 s after SIGTERM was taken, run by an upstream, and cut 7.5 s after it (7 of 8 streams of 4.3 s).

Cause: an entry that shuts down bounded the deadline of a call by its own end and took it, however little time was left, so that the end of the process became the end of the answer. The same for calls that were admitted before SIGTERM, waited for an upstream or for the rest of their body, and were sent after it. Answers of calls that had arrived before SIGTERM did not say that the connection closes, which brought such calls in.

Change: a call whose own limit ends after the shutdown is refused with Reason Leaving before an upstream gets it, and returns at once to another entry: at its admission, while it waits, and after its body. Every answer whose head is written during a shutdown closes its connection.

--- a/internal/connection/finisher/finisher.go
+++ b/internal/connection/finisher/finisher.go
@@ -23,6 +23,8 @@
 
 // Finisher holds the end of a shutdown. It is safe for concurrent use.
 type Finisher struct {
+	begun   context.Context // done when the shutdown has begun
+	begin   context.CancelFunc
 	ending  context.Context // done when requests have to be answered
 	end     context.CancelFunc
 	cutting context.Context // done when streams have to end
@@ -35,6 +37,7 @@
 // New returns a finisher without a shutdown.
 func New() *Finisher {
 	f := &Finisher{}
+	f.begun, f.begin = context.WithCancel(context.Background())
 	f.ending, f.end = context.WithCancel(context.Background())
 	f.cutting, f.cut = context.WithCancel(context.Background())
 	return f
@@ -51,6 +54,28 @@
 	f.stopAt = deadline
 	time.AfterFunc(time.Until(deadline)-answerTime, f.end)
 	time.AfterFunc(time.Until(deadline)-lastBytesTime, f.cut)
+	f.begin()
+}
+
+// MayOutlast reports whether a shutdown has begun that ends before a request with a deadline has to. Such a request is not
+// begun any more.
+func (f *Finisher) MayOutlast(deadline time.Time) bool {
+	return f.Bound(deadline).Before(deadline)
+}
+
+// Wait returns a context for a request with a deadline that waits to be begun. It is cancelled with ErrEnding once
+// MayOutlast is true. The returned function releases it.
+func (f *Finisher) Wait(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unbind := context.AfterFunc(f.begun, func() {
+		if f.MayOutlast(deadline) {
+			cancel(ErrEnding)
+		}
+	})
+	return ctx, func() {
+		unbind()
+		cancel(nil)
+	}
 }
 
 // Bound returns the deadline of a request, or the end of the shutdown for it if that is earlier.
--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -19,6 +19,8 @@
 const (
 	// notReadyRetryAfter is the Retry-After of an entry that has no configuration yet.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// leavingRetryAfter is the Retry-After of an entry that is shutting down. Other entries take the call at once.
+	leavingRetryAfter = time.Millisecond
 	// staleRetryAfter is the Retry-After of an entry whose configuration may be outdated.
 	staleRetryAfter = time.Second
 )
@@ -47,6 +49,9 @@
 		return refusal
 	}
 	x.setDeadline()
+	if x.mayOutlastShutdown() {
+		return leavingRefusal()
+	}
 	name := matcher.Pick(x.route, f.randomFloat())
 	x.service = s.Configuration.Services[name]
 	x.service.Name = name
@@ -63,6 +68,10 @@
 	return notRunRetryAfter(foxtailwharf.ReasonStoreUnavailable, "the entry cannot verify that its configuration is current", staleRetryAfter)
 }
 
+func leavingRefusal() *foxtailwharf.Refusal {
+	return notRunRetryAfter(foxtailwharf.ReasonLeaving, "the entry is shutting down", leavingRetryAfter)
+}
+
 func bodyTooLarge() *foxtailwharf.Refusal {
 	return foxtailwharf.NotRun(foxtailwharf.ReasonBodyTooLarge, "the request body is too large")
 }
--- a/internal/request/forwarder/bench_test.go
+++ b/internal/request/forwarder/bench_test.go
@@ -181,6 +181,8 @@
 	header http.Header
 	body   string
 	err    error // of reading the body
+	// isClosing tells that the connection closes after the answer.
+	isClosing bool
 }
 
 // call sends a request as a caller does.
@@ -202,7 +204,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return answer{id: id, status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	return answer{id: id, status: response.StatusCode, header: response.Header, body: string(body), err: err, isClosing: response.Close}
 }
 
 func (b *bench) ran(a answer) int {
--- a/internal/request/forwarder/ending.go
+++ b/internal/request/forwarder/ending.go
@@ -42,7 +42,7 @@
 	case errors.Is(context.Cause(ctx), errQuarantined):
 		return quarantined(x.f.quarantinedFor(x))
 	case errors.Is(context.Cause(ctx), finisher.ErrEnding):
-		return foxtailwharf.NotRun(foxtailwharf.ReasonLeaving, "the entry is shutting down")
+		return leavingRefusal()
 	case refusal != nil:
 		return refusal
 	default:
@@ -121,6 +121,7 @@
 func (x *exchange) writeRefusal(refusal *foxtailwharf.Refusal) {
 	x.hasEnded = true
 	x.boundWrite()
+	x.closeIfLeaving()
 	refuser.WriteDirect(x.w, refusal)
 }
 
@@ -128,7 +129,7 @@
 // written.
 func (x *exchange) cause(ctx context.Context, err error) explainer.Cause {
 	return causeOf(ending{
-		write: err, call: context.Cause(ctx), last: x.progress.lastFailure(), isBounded: x.isBounded, isLeaving: x.f.leaving.Load(),
+		write: err, call: context.Cause(ctx), last: x.progress.lastFailure(), isLeaving: x.f.leaving.Load(),
 	})
 }
 
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -30,8 +30,7 @@
 	f        *Forwarder
 	w        http.ResponseWriter
 	started  time.Time
-	leavesAt time.Time // when the caller gives up
-	deadline time.Time // the same, or the end of the shutdown if that is earlier
+	deadline time.Time // when the caller gives up
 	call     foxtailwharf.Call
 	route    *foxtailwharf.CallRoute
 	service  foxtailwharf.CallService
@@ -45,7 +44,6 @@
 	// isBodyBegun is set once the body is being read, and hasBodyFailed if that fails.
 	isBodyBegun, hasBodyFailed bool
 	cancel                     context.CancelCauseFunc
-	isBounded                  bool // the deadline is the end of a shutdown
 
 	progress    progress
 	searches    sync.WaitGroup  // goroutines of backups
@@ -65,16 +63,9 @@
 	body   []byte
 }
 
-// setDeadline sets the deadline to the shorter of the route's timeout and the caller's own, within the time that is left
-// if the entry shuts down.
+// setDeadline sets the deadline to the shorter of the route's timeout and the caller's own.
 func (x *exchange) setDeadline() {
-	x.leavesAt = x.started.Add(x.callerTimeout(x.timeout()))
-	bound := x.f.finisher.Bound
-	if x.route.Kind == foxtailwharf.CallStream {
-		bound = x.f.finisher.BoundStream
-	}
-	x.deadline = bound(x.leavesAt)
-	x.isBounded = x.deadline.Before(x.leavesAt)
+	x.deadline = x.started.Add(x.callerTimeout(x.timeout()))
 }
 
 // bindEnd ends the call at the end of a shutdown, unless the returned function is called before.
@@ -160,10 +151,7 @@
 // acquire waits for an upstream. It ends the call and returns nil if there is none.
 func (x *exchange) acquire(ctx context.Context) *attempt {
 	from := x.progress.position()
-	u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(from, x.excluded, x.waitUntil()))
-	if refusal != nil && x.readmitUnreached(ctx) {
-		u, refusal = x.f.c.Assigner.Acquire(ctx, x.assignerRequest(from, x.excluded, x.waitUntil()))
-	}
+	u, refusal := x.assign(ctx, from)
 	x.f.recordAssignment(x.service.Name, refusal)
 	if refusal != nil {
 		if len(x.excluded) > 0 {
@@ -173,6 +161,11 @@
 		return nil
 	}
 	a := newAttempt(x, u, from)
+	if x.mayOutlastShutdown() {
+		a.end(ctx, balancer.Abandoned)
+		x.finish(ctx, leavingRefusal())
+		return nil
+	}
 	if remaining := x.f.quarantinedFor(x); remaining > 0 && !x.isTrial {
 		// The end of another banned call may have freed the slot before the ban has ended this one.
 		a.end(ctx, balancer.Abandoned)
@@ -189,6 +182,34 @@
 	return a
 }
 
+// assign waits for an upstream. A call that has not run waits only while it may be begun.
+func (x *exchange) assign(ctx context.Context, from position) (foxtailwharf.Upstream, *foxtailwharf.Refusal) {
+	if !x.hasRun() {
+		var stop context.CancelFunc
+		ctx, stop = x.f.finisher.Wait(ctx, x.deadline)
+		defer stop()
+	}
+	u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(from, x.excluded, x.waitUntil()))
+	if refusal != nil && x.readmitUnreached(ctx) {
+		u, refusal = x.f.c.Assigner.Acquire(ctx, x.assignerRequest(from, x.excluded, x.waitUntil()))
+	}
+	if refusal != nil && x.mayOutlastShutdown() {
+		return u, leavingRefusal()
+	}
+	return u, refusal
+}
+
+// hasRun reports whether the call may have run, so that a refusal as not run would not be true.
+func (x *exchange) hasRun() bool {
+	return x.progress.hasUnknown() || x.progress.hasHead()
+}
+
+// mayOutlastShutdown reports whether the call has not run, and must not be begun any more because the entry may end before
+// it. Another entry serves it whole.
+func (x *exchange) mayOutlastShutdown() bool {
+	return !x.hasRun() && x.f.finisher.MayOutlast(x.deadline)
+}
+
 // perform makes an attempt, or goes on with one that has begun to be answered, and reports the result to the
 // assigner.
 func (x *exchange) perform(ctx context.Context, a *attempt) outcome {
@@ -302,12 +323,21 @@
 func (x *exchange) writeBuffered(answer *bufferedAnswer) {
 	x.boundWrite()
 	copyHeader(x.w.Header(), answer.header)
+	x.closeIfLeaving()
 	x.w.WriteHeader(answer.status)
 	if _, err := x.w.Write(answer.body); err != nil {
 		x.recordUnanswered("caller disconnected before its answer was written", causeOf(ending{write: err, isLeaving: x.f.leaving.Load()}), zap.Error(err))
 	}
 }
 
+// closeIfLeaving makes the answer, whose head is about to be written, tell the caller to close its connection if the entry
+// shuts down.
+func (x *exchange) closeIfLeaving() {
+	if x.f.leaving.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // beginStream sends the head of a stream, unless it was sent already.
 func (x *exchange) beginStream(status int, header http.Header) {
 	if x.hasBegun {
@@ -316,6 +346,7 @@
 	x.hasBegun = true
 	x.first = time.Since(x.started)
 	copyHeader(x.w.Header(), header)
+	x.closeIfLeaving()
 	x.w.WriteHeader(status)
 }
 
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -228,9 +228,6 @@
 // ServeHTTP answers one call.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	if f.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{f: f, w: w, started: started, excluded: make(map[string]bool)}
 	x.boundWrite()
 	if refusal := f.admit(x, w, r); refusal != nil {
