Own interface: requests after the notice that may outlast a shutdown are not run

What callers saw: on the product's own interface an entry that shuts down took requests on kept connections as late as they came, and cut their answers at its end; answers whose head was written during the shutdown, to requests from before it, did not say that the connection closes.

Change: once the notice is over, a request whose own limit ends after the shutdown is refused as not run. During the notice requests are taken as before: load balancers still send them, and their callers may have nowhere else to go at once. The head of every answer is given Connection: close when it is written.

Looked at as well: agents (worker) refuse new requests at once as not run and have no answers of their own to cut; the dispatcher answers what waits with Leaving.

--- a/internal/process/receiver/callers.go
+++ b/internal/process/receiver/callers.go
@@ -50,13 +50,10 @@
 	return mux
 }
 
-// closeIfLeaving tells callers to close their connection once the entry shuts down.
+// closeIfLeaving tells callers to close their connection if the entry shuts down when their answer begins.
 func (r *Receiver) closeIfLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		if r.isLeaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, q)
+		next.ServeHTTP(&headWriter{ResponseWriter: w, isLeaving: &r.isLeaving}, q)
 	})
 }
 
@@ -256,6 +253,11 @@
 		r.refuse(w, refusal)
 		return
 	}
+	if request.IsBounded && r.isNoticeOver.Load() {
+		// The entry may end before the answer. Callers have learned by now to send requests to other entries.
+		r.refuse(w, foxtailwharf.NotRun(foxtailwharf.ReasonLeaving, "the entry is shutting down"))
+		return
+	}
 	caps := capsFor(grant)
 	if refusal := r.admit(caps, request.Cost); refusal != nil {
 		r.refuse(w, r.relayer.ExtendRefusal(q.Context(), request, refusal))
@@ -263,7 +265,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(q.Context())
 	defer cancel(nil)
-	head := &headWriter{ResponseWriter: w}
+	head := &headWriter{ResponseWriter: w, isLeaving: &r.isLeaving}
 	defer r.finisher.BindStream(cancel, head.isSent.Load)()
 	cost, refusal := r.relayer.Relay(ctx, head, request)
 	r.correctUsage(caps, cost-request.Cost)
--- a/internal/process/receiver/headwriter.go
+++ b/internal/process/receiver/headwriter.go
@@ -5,21 +5,30 @@
 	"sync/atomic"
 )
 
-// headWriter is a response writer that records whether the head of the response has been sent.
+// headWriter is a response writer that records whether the head of the response has been sent, and closes the connection
+// after the response if the entry shuts down by then.
 type headWriter struct {
 	http.ResponseWriter
-	isSent atomic.Bool
+	isLeaving *atomic.Bool
+	isSent    atomic.Bool
+}
+
+// begin is called before each part of the response. Only before the head it has an effect on the connection.
+func (w *headWriter) begin() {
+	if !w.isSent.Swap(true) && w.isLeaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 }
 
 // WriteHeader sends the head of the response.
 func (w *headWriter) WriteHeader(status int) {
-	w.isSent.Store(true)
+	w.begin()
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write sends a part of the body, after the head.
 func (w *headWriter) Write(data []byte) (int, error) {
-	w.isSent.Store(true)
+	w.begin()
 	return w.ResponseWriter.Write(data)
 }
 
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -77,7 +77,9 @@
 	cancel      context.CancelFunc
 	cleanupDone chan struct{}
 	isLeaving   atomic.Bool
-	callers     net.Addr
+	// isNoticeOver is set once a shutdown has lasted for the Notice time.
+	isNoticeOver atomic.Bool
+	callers      net.Addr
 
 	mu       sync.Mutex
 	admitter *admitter.Admitter
@@ -283,6 +285,7 @@
 	r.gossiper.Update(func(self *foxtailwharf.Instance) { self.IsLeaving = true })
 	r.gossiper.Announce(ctx)
 	sleeper.Sleep(ctx, r.c.Settings.Notice)
+	r.isNoticeOver.Store(true)
 	r.discarder.Leave()
 	err := r.servers[0].Shutdown(ctx)
 	r.Close()
--- a/standin/fleet/bench_test.go
+++ b/standin/fleet/bench_test.go
@@ -48,8 +48,9 @@
 	weights       map[string]string        // digests by version
 	hosts         map[string]*standin.Host // by process name
 	caller        *standin.Host
-	entry         int    // index of the entry that gets the requests
-	key           string // bearer key of the requests
+	entry         int          // index of the entry that gets the requests
+	key           string       // bearer key of the requests
+	client        *http.Client // nil for one connection for each request
 }
 
 func newBench(t *testing.T, c benchConfig) *bench {
@@ -156,6 +157,14 @@
 	return &other
 }
 
+// onOneConnection returns a copy of the bench whose requests use one connection, one after the other.
+func (b *bench) onOneConnection() *bench {
+	other := *b
+	other.client = &http.Client{Transport: &http.Transport{DialContext: dialFrom(b.caller), MaxConnsPerHost: 1}}
+	b.t.Cleanup(other.client.CloseIdleConnections)
+	return &other
+}
+
 // as returns a copy of the bench that sends requests with another bearer key.
 func (b *bench) as(key string) *bench {
 	other := *b
@@ -170,6 +179,7 @@
 	version     string
 	body        string
 	header      http.Header
+	isClosing   bool          // the connection closes after the response
 	err         error         // of a connection that failed or broke
 	headerTime  time.Duration // until the response header
 	totalTime   time.Duration // until the end of the body
@@ -185,7 +195,10 @@
 // do sends a request to the entry and reads the whole response.
 func (b *bench) do(ctx context.Context, method, path, body string, header http.Header) (a answer) {
 	started := time.Now()
-	client := &http.Client{Transport: &http.Transport{DialContext: dialFrom(b.caller), DisableKeepAlives: true}}
+	client := b.client
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{DialContext: dialFrom(b.caller), DisableKeepAlives: true}}
+	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+b.f.Entries[b.entry].Callers().String()+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
@@ -204,6 +217,7 @@
 		contentType: response.Header.Get("Content-Type"),
 		version:     response.Header.Get("Foxtailwharf-Version"),
 		header:      response.Header,
+		isClosing:   response.Close,
 		headerTime:  time.Since(started),
 	}
 	data, err := io.ReadAll(response.Body)
