Answers without end fill no agent's memory: each reader has a bound of its own

Change: package bodyreader reads a body up to a bound and returns an error beyond it. Readers of manifests from agents and from the origin use it too, so that none is cut and taken for a whole one. An agent that finds a staged chunk too long goes on with the others: it may be of another release.

Looked at and bounded before: heads (64 KiB with all 1xx), answers to callers (collector, output), events (splitter), datagrams, messages, chunks from agents and the origin.

--- a/fleetstore.go
+++ b/fleetstore.go
@@ -66,7 +66,8 @@
 	State(ctx context.Context, model string) (EngineState, error)
 	// Staged returns the numbers of the chunks in the staging area, whatever their version.
 	Staged(ctx context.Context, model string) ([]int, error)
-	StagedChunk(ctx context.Context, model string, number int) ([]byte, error)
+	// StagedChunk returns a chunk of the staging area. One that is longer than size bytes is an error.
+	StagedChunk(ctx context.Context, model string, number int, size int64) ([]byte, error)
 	Stage(ctx context.Context, model string, number int, data []byte) error
 	// Load orders the engine to load the release from the staging area, after its running requests,
 	// or at once with isCancelling, which cancels them. The engine refuses the order unless it has
--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/bodyreader"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/planner"
 )
@@ -276,7 +277,12 @@
 		if number < 0 || number >= len(r.chunks) {
 			continue
 		}
-		data, err := i.p.c.Slot.StagedChunk(ctx, r.release.Model, number)
+		data, err := i.p.c.Slot.StagedChunk(ctx, r.release.Model, number, r.chunks[number].Size)
+		var tooLong *bodyreader.LimitError
+		if errors.As(err, &tooLong) {
+			// It is of another release, or the engine sends bytes without end.
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -295,7 +301,7 @@
 	started := time.Now()
 	staged := 0
 	for number, chunk := range r.chunks {
-		data, err := i.p.c.Slot.StagedChunk(ctx, r.release.Model, number)
+		data, err := i.p.c.Slot.StagedChunk(ctx, r.release.Model, number, chunk.Size)
 		if err == nil && foxtailwharf.Digest(data) == chunk.Digest {
 			continue
 		}
--- a/internal/process/provisioner/manifests.go
+++ b/internal/process/provisioner/manifests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -13,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/bodyreader"
 	"github.com/foxtailwharf/foxtailwharf/internal/version/planner"
 )
 
@@ -110,7 +110,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("installLoop.getManifest: status %d from %s", response.StatusCode, address)
 	}
-	return io.ReadAll(io.LimitReader(response.Body, maxManifestBytes))
+	return bodyreader.ReadAll(response.Body, maxManifestBytes)
 }
 
 // dropOldReleases drops the chunks of all releases except the newest and the one before it.
--- a/internal/process/storer/storer.go
+++ b/internal/process/storer/storer.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -15,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/bodyreader"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 )
 
@@ -23,7 +23,8 @@
 	PathObjects   = "/objects/"
 	PathInstances = "/instances"
 
-	maxResponseBytes = 64 << 20
+	// maxResponseBytes bounds the size of one response.
+	maxResponseBytes = 16 << 20
 	// maxWatchTime is the longest time that the store holds a watch without changes.
 	maxWatchTime = 30 * time.Second
 )
@@ -147,7 +148,7 @@
 		return errors.Wrap(foxtailwharf.ErrUnavailable, err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := bodyreader.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
 		return errors.Wrap(foxtailwharf.ErrUnavailable, err.Error())
 	}
--- a/internal/version/downloader/downloader.go
+++ b/internal/version/downloader/downloader.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/bodyreader"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 )
 
@@ -54,7 +55,7 @@
 		return nil, err
 	}
 	defer func() { _ = body.Close() }()
-	if data, err = io.ReadAll(io.LimitReader(body, maxManifestBytes)); err != nil {
+	if data, err = bodyreader.ReadAll(body, maxManifestBytes); err != nil {
 		return nil, errors.Wrap(err, "Source.Manifest")
 	}
 	return data, nil
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -337,14 +337,17 @@
 	return numbers, nil
 }
 
-// StagedChunk returns the data of a staged chunk.
-func (e *SlotEngine) StagedChunk(_ context.Context, _ string, number int) ([]byte, error) {
+// StagedChunk returns the data of a staged chunk, unless it is longer than size bytes.
+func (e *SlotEngine) StagedChunk(_ context.Context, _ string, number int, size int64) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	data, isStaged := e.staged[number]
 	if !isStaged {
 		return nil, errors.Errorf("chunk %d is not staged", number)
 	}
+	if int64(len(data)) > size {
+		return nil, errors.Errorf("chunk %d has %d bytes, over %d", number, len(data), size)
+	}
 	return data, nil
 }
 
