Bodies of callers are bounded together, and a process keeps to its memory

Cause: each body was bounded by the configuration, all together by nothing; io.ReadAll held up to twice a body while it grew, the digest of a request copied the body twice more, and the Go runtime did not know the limit of the process.

Change: bodies are read by the collector that bounds answers, up to a quarter of the process's memory beyond 64 KiB of each; one that finds no room is refused at once as not run (Reason QueueFull), with a Retry-After, while small ones are served. A body of announced length gets one buffer once 64 KiB of it have arrived. The digest of a request reads the body in place.

Remains: entries of the product's own interface bound each body, not all together.

--- a/cmd/foxtailwharf/fleet.go
+++ b/cmd/foxtailwharf/fleet.go
@@ -111,6 +111,7 @@
 // runFleet runs a daemon until ctx is done, and reads the settings again at each SIGHUP.
 func (f settingsFlag) runFleet(ctx context.Context, d daemon, s foxtailwharf.FleetSettings, log *zap.Logger, h catcher.Hangups) error {
 	limitProcessors(fleetProcessors)
+	limitMemory(s.Memory())
 	l := &settingsLogger{file: f, settings: s, log: log, hangups: h, done: make(chan struct{})}
 	go l.run(ctx)
 	err := runUntilDone(ctx, d, max(s.Drain-stopMargin, 0))
--- a/digest.go
+++ b/digest.go
@@ -12,10 +12,14 @@
 
 const idBytes = 12
 
-// Digest returns the SHA-256 digest of data in lower-case hexadecimal.
-func Digest(data []byte) string {
-	sum := sha256.Sum256(data)
-	return hex.EncodeToString(sum[:])
+// Digest returns the SHA-256 digest of all parts, one after the other, in lower-case hexadecimal.
+func Digest(parts ...[]byte) string {
+	h := sha256.New()
+	for _, part := range parts {
+		// A hash never returns an error.
+		_, _ = h.Write(part)
+	}
+	return hex.EncodeToString(h.Sum(nil))
 }
 
 // IsDigest reports whether s has the length and alphabet of a digest. Upper-case letters are
--- a/fleetsettings.go
+++ b/fleetsettings.go
@@ -13,6 +13,10 @@
 	defaultRepeatExtra  = 100
 	defaultFleetDrain   = 8 * time.Second
 	defaultLinkMegabits = 100
+	// defaultMemory fits the smallest instances, in MB.
+	defaultMemory       = 152
+	minMemory           = 32
+	maxMemory           = 1e6
 	minFleetPorts       = 2
 	maxLinkMegabits     = 1e6
 	maxRepeatExtra      = 1e6
@@ -52,8 +56,10 @@
 	// /metrics. Without it, they are served only on the port for traffic between processes.
 	Metrics netip.AddrPort `yaml:"Metrics,omitempty"`
 	// LinkMegabits is the rate of the machine's link in Mbit/s.
-	LinkMegabits float64       `yaml:"LinkMegabits"`
-	Drain        time.Duration `yaml:"Drain"` // time limit of a graceful shutdown
+	LinkMegabits float64 `yaml:"LinkMegabits"`
+	// MemoryMegabytes is the memory in MB (2^20 bytes) beyond which the platform kills the process.
+	MemoryMegabytes int           `yaml:"MemoryMegabytes"`
+	Drain           time.Duration `yaml:"Drain"` // time limit of a graceful shutdown
 	// KeyLife is the time after which a revoked key must no longer be accepted.
 	KeyLife time.Duration `yaml:"KeyLife"`
 	// Switch is the time limit for changing to a new release. Once it has passed since the release
@@ -69,6 +75,7 @@
 // Defaults sets fields with a zero value to their defaults.
 func (s *FleetSettings) Defaults() {
 	setDefault(&s.LinkMegabits, defaultLinkMegabits)
+	setDefault(&s.MemoryMegabytes, defaultMemory)
 	setDefault(&s.Drain, defaultFleetDrain)
 	setDefault(&s.KeyLife, defaultKeyLife)
 	setDefault(&s.Switch, defaultSwitch)
@@ -89,6 +96,7 @@
 	}
 	checkAddress(f, "$.Store", s.Store)
 	checkRange(f, "$.LinkMegabits", s.LinkMegabits, 0.1, maxLinkMegabits)
+	checkRange(f, "$.MemoryMegabytes", s.MemoryMegabytes, minMemory, maxMemory)
 	checkRange(f, "$.Drain", s.Drain, 0, maxDrain)
 	checkRange(f, "$.KeyLife", s.KeyLife, time.Millisecond, maxFleetDuration)
 	checkRange(f, "$.Switch", s.Switch, time.Millisecond, maxFleetDuration)
@@ -109,6 +117,11 @@
 	return f.ErrorOrNil()
 }
 
+// Memory returns the memory of the process in bytes.
+func (s *FleetSettings) Memory() int64 {
+	return int64(s.MemoryMegabytes) << 20
+}
+
 // IsFar reports whether a failure domain is in another region.
 func (s *FleetSettings) IsFar(domain string) bool {
 	return s.Regions[domain] != s.Region
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -37,6 +37,8 @@
 const (
 	// proofMargin is subtracted from the time within which a revoked key must stop working.
 	proofMargin = 300 * time.Millisecond
+	// bodiesFraction is the inverse of the part of the process's memory that the bodies of callers' requests may take.
+	bodiesFraction = 4
 	// switchMargin is subtracted from the deadline after which no call may start on old
 	// weights, because a call may wait in the engine's queue.
 	switchMargin = 800 * time.Millisecond
@@ -150,6 +152,7 @@
 		Meter:               d.meter,
 		Clock:               c.Clock,
 		MaxConfigurationAge: c.Settings.KeyLife - proofMargin,
+		MaxBodiesBytes:      int(c.Settings.Memory() / bodiesFraction),
 		RetryBudget:         retrylimiter.Config{Ratio: c.Settings.RepeatRatio * retryShare, Window: c.Settings.RepeatWindow, Extra: d.retryExtra(1)},
 		NotifyAgent:         d.notifyCall,
 		ShareBans:           d.shareBans,
--- a/internal/request/collector/collector.go
+++ b/internal/request/collector/collector.go
@@ -59,13 +59,20 @@
 type Body struct {
 	Bytes    []byte
 	c        *Collector
+	length   int // as announced; 0 if it is not known
 	reserved int
 }
 
 // Collect reads r to its end. It calls onProgress after each ProgressBytes. The error is a
 // *LimitError for an answer that exceeds a bound, and otherwise that of r.
 func (c *Collector) Collect(r io.Reader, onProgress func()) (*Body, error) {
-	b := &Body{c: c}
+	return c.CollectLength(r, 0, onProgress)
+}
+
+// CollectLength is Collect for a body whose length in bytes was announced; 0 if it was not. Once more than the unshared part of
+// it has arrived, memory for the whole body is taken at once.
+func (c *Collector) CollectLength(r io.Reader, length int, onProgress func()) (*Body, error) {
+	b := &Body{c: c, length: length}
 	reported := 0
 	for {
 		if err := b.grow(); err != nil {
@@ -98,7 +105,12 @@
 	if size < cap(b.Bytes) {
 		return nil
 	}
-	next := min(max(2*size, minReadBytes), b.c.c.MaxAnswer+minReadBytes)
+	next := max(2*size, minReadBytes)
+	if size >= b.c.c.Unshared && size <= b.length {
+		// One byte more than the length, so that its end is read without another buffer.
+		next = b.length + 1
+	}
+	next = min(next, b.c.c.MaxAnswer+minReadBytes)
 	if !b.reserve(next) {
 		return &LimitError{Read: size, IsTotal: true}
 	}
--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -11,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/matcher"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/queuer"
@@ -119,11 +119,15 @@
 		x.f.c.Log.Debug("call: connection of the caller has no read deadline", zap.Error(err))
 	}
 	x.isBodyBegun = true
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, x.bodyLimit()))
+	body, err := x.f.bodies.CollectLength(http.MaxBytesReader(w, r.Body, x.bodyLimit()), int(max(r.ContentLength, 0)), func() {})
 	if err != nil {
 		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
+		var noMemory *collector.LimitError
+		switch {
+		case errors.As(err, &tooLarge):
 			return bodyTooLarge()
+		case errors.As(err, &noMemory):
+			return foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "the entry holds too many large request bodies")
 		}
 		x.hasBodyFailed = true
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -134,8 +138,9 @@
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		x.f.c.Log.Debug("call: connection of the caller has no read deadline", zap.Error(err))
 	}
-	x.call.Body = data
-	x.request = isolator.Request(foxtailwharf.Digest([]byte(x.service.Name + "\n" + x.account + "\n" + x.call.Method + "\n" + x.call.Target + "\n" + string(data))))
+	x.progress.hold(body)
+	x.call.Body = body.Bytes
+	x.request = isolator.Request(foxtailwharf.Digest([]byte(x.service.Name+"\n"+x.account+"\n"+x.call.Method+"\n"+x.call.Target+"\n"), body.Bytes))
 	x.suspects = append(slices.Clone(x.call.PromptParts), x.request)
 	if remaining := x.f.meetBan(x); remaining > 0 {
 		return quarantined(remaining)
--- a/internal/request/forwarder/bench_test.go
+++ b/internal/request/forwarder/bench_test.go
@@ -55,6 +55,9 @@
 	published map[string]bool // upstreams whose crashes were sent to the other entries
 }
 
+// benchBodiesBytes bounds the memory of all request bodies at the entry of a bench.
+const benchBodiesBytes = 16 << 20
+
 // publish records what the other entries would be sent.
 func (b *bench) publish() {
 	for _, crash := range append(b.forwarder.TakeUrgent().Breaks, b.forwarder.Isolate(isolator.RoleDecides).Breaks...) {
@@ -103,6 +106,7 @@
 		Meter:               b.meter,
 		Clock:               func() time.Duration { return time.Since(b.started) + b.clock },
 		MaxConfigurationAge: maxConfigurationAge,
+		MaxBodiesBytes:      benchBodiesBytes,
 		RetryBudget:         retrylimiter.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 20},
 		NotifyAgent:         func(foxtailwharf.Upstream, int) {},
 		ShareBans: func(context.Context) {
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -103,7 +103,6 @@
 // run makes attempts until one is delivered or the caller disconnects. If no upstream is assigned
 // or the call may not be retried, it ends the call with finish.
 func (x *exchange) run(ctx context.Context) {
-	defer x.progress.release()
 	if len(x.call.PromptParts) > 0 {
 		if remaining := x.f.addPending(x); remaining > 0 {
 			x.refuse(quarantined(remaining))
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -40,7 +40,9 @@
 	// MaxConfigurationAge is how long the configuration is trusted after the last proof that it is the
 	// newest. API keys are refused once it has passed.
 	MaxConfigurationAge time.Duration
-	RetryBudget         retrylimiter.Config
+	// MaxBodiesBytes bounds the memory of all request bodies at once, beyond the unshared part of each.
+	MaxBodiesBytes int
+	RetryBudget    retrylimiter.Config
 	// NotifyAgent tells the agent of an engine that a call is being sent there, with the length of
 	// its prompt in tokens.
 	NotifyAgent func(u foxtailwharf.Upstream, tokens int)
@@ -54,7 +56,8 @@
 // Forwarder answers the calls of one entry. It is safe for concurrent use.
 type Forwarder struct {
 	c         Config
-	collector *collector.Collector
+	collector *collector.Collector // of answers
+	bodies    *collector.Collector // of requests
 	discarder *discarder.Discarder
 	finisher  *finisher.Finisher
 	state     atomic.Pointer[state]
@@ -80,19 +83,20 @@
 	changedAt time.Time // of the configuration
 }
 
-// Bounds on the answers that are read whole before they are forwarded. Together they stay well below
+// Bounds on the answers and bodies that are read whole before they are forwarded. Together they stay well below
 // the memory of a small instance.
 const (
-	maxAnswerBytes      = 8 << 20
-	maxAnswersBytes     = 24 << 20 // all answers at once, beyond the unshared part of each
-	unsharedAnswerBytes = 64 << 10
+	maxAnswerBytes  = 8 << 20
+	maxAnswersBytes = 24 << 20 // all answers at once, beyond the unshared part of each
+	unsharedBytes   = 64 << 10 // of each answer or body
 )
 
 // New returns a forwarder that refuses all calls until SetView gives it a configuration.
 func New(c Config) *Forwarder {
 	return &Forwarder{
 		c:         c,
-		collector: collector.New(collector.Config{MaxAnswer: maxAnswerBytes, MaxTotal: maxAnswersBytes, Unshared: unsharedAnswerBytes}),
+		collector: collector.New(collector.Config{MaxAnswer: maxAnswerBytes, MaxTotal: maxAnswersBytes, Unshared: unsharedBytes}),
+		bodies:    collector.New(collector.Config{MaxAnswer: int(foxtailwharf.MaxBodyBytes), MaxTotal: c.MaxBodiesBytes, Unshared: unsharedBytes}),
 		discarder: discarder.New(discarder.Config{Log: c.Log}),
 		finisher:  finisher.New(),
 		retries:   retrylimiter.New(c.RetryBudget, time.Now()),
@@ -229,6 +233,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	x := &exchange{f: f, w: w, started: started, excluded: make(map[string]bool)}
+	defer x.progress.release()
 	x.boundWrite()
 	if refusal := f.admit(x, w, r); refusal != nil {
 		x.refuseUnread(r, refusal)
