An entry that starts after a restore of the store accepts no configuration that the others know to be replaced

A key that had been taken away over 5 s before was in use again (200) at an entry that started just after the store had come back from an older copy, until the operator's write was there again; the other entries refused it (401) all the while.

Cause: an entry takes its first read of the store as proof that the configuration is the newest. It notices a restore only by an era that it has seen before, and one that starts has seen none. The message with which it meets the others named what has left, but not the configuration that they know.

Change: the answer to a starting entry (FleetMeeting) names the newest version of the configuration that the answering entry knows. An entry that has an older one has no proof that it is current, whatever the store says, and refuses keys until it has that version.

Remains: an entry that reaches no other one within its first quarter of a second has only the store.

--- a/internal/process/distributor/discovery.go
+++ b/internal/process/distributor/discovery.go
@@ -148,6 +148,7 @@
 	}
 	d.handleEntries(entriesOf(known.Entries))
 	d.learnLeft(known.Left)
+	d.follower.RequireVersion(known.Version)
 	if known.IsSettled {
 		d.mu.Lock()
 		d.meetDeadline = time.Time{}
@@ -177,7 +178,8 @@
 // The first answer names the upstreams that have left as well.
 func (d *Distributor) handleMeet(_ context.Context, m wire.FleetMeeting) (wire.FleetMeeting, error) {
 	d.handleEntries(entriesOf(m.Entries))
-	answer := wire.FleetMeeting{IsSettled: d.follower.View().Configuration != nil, Process: d.c.Seed}
+	version := d.follower.View().Version()
+	answer := wire.FleetMeeting{IsSettled: version > 0, Process: d.c.Seed, Version: version}
 	byDomain := make(map[string][]string)
 	after := m.Sequence
 	if m.Process != d.c.Seed {
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -103,6 +103,7 @@
 	graceUntil     map[string]time.Duration                  // end of the grace period, by ID of the upstream
 	outageEnd      time.Duration                             // end of the last outage, by the clock; 0 for none
 	calls          map[foxtailwharf.FleetSubject]pendingCall // in progress
+	newest         int64                                     // version of the configuration that other entries know
 	restores       int                                       // how often the store has come back from an older copy
 	goneRuns       map[string]goneRun                        // removed upstreams, by ID
 	held           map[string]heldUpstream                   // by ID
@@ -364,9 +365,31 @@
 	}
 }
 
+// RequireVersion records that another entry knows a version of the configuration. An older one is not the newest, whatever the
+// store says: it may have come back from an older copy before this process first asked it.
+func (f *Follower) RequireVersion(version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version <= f.newest {
+		return
+	}
+	f.newest = version
+	if f.view.Version() >= version {
+		return
+	}
+	f.c.Log.Info("store: another entry knows a newer configuration", zap.Int64("Version", version), zap.Int64("Own", f.view.Version()))
+	if f.view.HasProof {
+		f.view.HasProof = false
+		f.c.OnChange(f.view)
+	}
+}
+
 // confirm records a proof for the configuration in force. It returns false if the proof is no
 // newer than the known one.
 func (f *Follower) confirm(at time.Duration) bool {
+	if f.view.Version() < f.newest {
+		return false
+	}
 	if f.view.HasProof && at <= f.view.ConfiguredAt {
 		return false
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -345,6 +345,10 @@
 	// place in the order in which that process has heard of entries, up to which
 	// Entries is complete
 	Sequence uint64 `json:"Sequence,omitempty,omitzero"`
+
+	// newest version of the configuration that the answering entry knows, which an
+	// older copy of the store may lack
+	Version int64 `json:"Version,omitempty,omitzero"`
 }
 
 // FleetNotice is what an entry tells an agent of a fleet listed by the platform,
