Proofs come back at once when the store proves again after a restore

Cause: answers to polls that were sent less than 2 s after a restore prove nothing. The poll that spans the end of that time lasted up to 1.2 s, and the next one, the first that proves something, 1.2 s again.

Change: a poll for configurations ends when answers prove again, and for half a second from then the store answers at once until there is a proof.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -40,6 +40,9 @@
 	releasePause = 100 * time.Millisecond
 	// configurationPause is the same for configurations.
 	configurationPause = 150 * time.Millisecond
+	// proofPeriod is how long the first proof after a restore is sought by short polls. Later ones wait for what operators
+	// have not written again yet.
+	proofPeriod = 500 * time.Millisecond
 	// firstFailurePause is the backoff after the first failed call. It doubles with each further
 	// failure, up to maxDoublings times.
 	firstFailurePause = 250 * time.Millisecond
@@ -221,6 +224,22 @@
 	f.outageEnd = now // upstreams that are newer than the copy have to register again
 }
 
+// waitForProof shortens the wait of a poll for configurations so that the first one which proves something after a restore is
+// sent, and answered, at once.
+func (f *Follower) waitForProof(wait time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := f.view.ProvesFrom - f.c.Clock()
+	switch {
+	case left > 0:
+		return min(wait, max(left, probeWait))
+	case f.view.ProvesFrom > 0 && -left < proofPeriod && (!f.view.HasProof || f.view.ConfiguredAt < f.view.ProvesFrom):
+		return probeWait
+	default:
+		return wait
+	}
+}
+
 // waitReachable blocks for the pause, or until the store answers again or ctx ends.
 func (f *Follower) waitReachable(ctx context.Context, pause time.Duration) {
 	f.mu.Lock()
--- a/internal/process/follower/subjectpoller.go
+++ b/internal/process/follower/subjectpoller.go
@@ -138,12 +138,20 @@
 	if isWhole {
 		return s.f.c.Store.Read(ctx, s.name)
 	}
-	wait := s.wait
-	if s.isLost {
+	return s.f.c.Store.Follow(ctx, s.name, after, s.nextWait())
+}
+
+// nextWait returns how long the store may wait for a change before it answers.
+func (s *subjectPoller) nextWait() time.Duration {
+	switch {
+	case s.isLost:
 		// With a long wait it would take until its end to notice that the store answers again.
-		wait = probeWait
+		return probeWait
+	case s.name == foxtailwharf.SubjectConfiguration:
+		return s.f.waitForProof(s.wait)
+	default:
+		return s.wait
 	}
-	return s.f.c.Store.Follow(ctx, s.name, after, wait)
 }
 
 // recordFailure records a call without an answer. The revision stays, since a watch that was cut
