A manifest that may be corrupt is read again

After a loss of power the origin's manifests were corrupt for 4 s; no runner got weights again: 38 of 383 requests were served from 12 s to 52 s after the return. Without the loss of power, no agent installed a version that was named meanwhile.

Cause: a manifest is named by the digest of what was received, so that nothing shows that it is corrupt. Once an agent had one, it never read another, however often the chunks it received differed from it, and it handed it on to others. Agents with different manifests of one release also get no chunks from each other.

Change: while a release is incomplete, its manifest is read again from the origin, once a second at the most, if a chunk that was received whole differs from it and none has arrived for half a second, or if none has arrived for two seconds. Another manifest takes the place of the old one; the chunks that both name are kept.

Remains: a manifest that is corrupt and names fewer chunks than there are is taken for whole.

--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -52,6 +52,8 @@
 	namedAt      time.Time // when an entry first heard of the release
 	firstHeardAt time.Time // when this agent first heard of the release
 	digest       string    // of the manifest; empty until it has been read
+	readAt       time.Time // when the manifest was last asked for
+	mismatches   int64     // as of the fetcher at that time
 	chunks       []foxtailwharf.Chunk
 	verifiedAt   time.Time // when its staged chunks were last verified
 	failedAt     time.Time // last time that preparing it failed
@@ -108,8 +110,11 @@
 		return
 	}
 	var err error
-	if r.digest == "" {
+	switch {
+	case r.digest == "":
 		err = i.readManifest(ctx, r)
+	case i.isDoubtful(r):
+		err = i.rereadManifest(ctx, r)
 	}
 	if err == nil && isUp && !i.isStagingScanned {
 		err = i.scanStaged(ctx, r)
--- a/internal/process/provisioner/manifests.go
+++ b/internal/process/provisioner/manifests.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/bodyreader"
@@ -21,6 +22,12 @@
 	manifestPeers = 3
 	// manifestTimeout bounds one attempt to read a manifest from any source.
 	manifestTimeout = time.Second
+	// manifestDoubtTime is how long no chunk has arrived when a manifest is read again because a chunk differs from it, and
+	// maxManifestDoubtTime without that.
+	manifestDoubtTime    = 500 * time.Millisecond
+	maxManifestDoubtTime = 2 * time.Second
+	// manifestRecheckInterval is the time between two readings of a manifest.
+	manifestRecheckInterval = time.Second
 	// maxManifestBytes bounds the size of a manifest read from another agent.
 	maxManifestBytes = 1 << 20
 	// originReadersGrace is how long only the chosen agents read a manifest from the origin. After
@@ -33,10 +40,47 @@
 func (i *installLoop) readManifest(ctx context.Context, r *releaseState) error {
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
+	i.noteRead(r)
 	text, err := i.findManifest(ctx, r)
 	if err != nil {
 		return err
 	}
+	return i.useManifest(r, text)
+}
+
+// noteRead records that the manifest is being read.
+func (i *installLoop) noteRead(r *releaseState) {
+	r.readAt, r.mismatches = time.Now(), i.p.fetcher.Mismatches()
+}
+
+// isDoubtful reports whether the manifest of a release may be corrupt: a chunk that was received differs from it, or no chunk arrives
+// for long. What it names it by, the digest of what was received, does not tell.
+func (i *installLoop) isDoubtful(r *releaseState) bool {
+	p := i.progress(r)
+	if p.Held == p.Total || time.Since(r.readAt) < manifestRecheckInterval {
+		return false
+	}
+	return p.Idle > manifestDoubtTime && (p.Idle > maxManifestDoubtTime || i.p.fetcher.Mismatches() > r.mismatches)
+}
+
+// rereadManifest reads a release's manifest from the origin once more. The chunks that another manifest names as well are kept.
+func (i *installLoop) rereadManifest(ctx context.Context, r *releaseState) error {
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	i.noteRead(r)
+	text, err := i.p.c.Origin.ReleaseManifest(ctx, r.release)
+	if err != nil {
+		return err
+	}
+	if foxtailwharf.Digest(text) == r.digest {
+		return nil
+	}
+	i.p.c.Log.Warn("agent: the origin sent another manifest of the release; it is used from now on", zap.Int64("Version", r.release.Version))
+	return i.useManifest(r, text)
+}
+
+// useManifest makes a manifest that of a release.
+func (i *installLoop) useManifest(r *releaseState, text []byte) error {
 	digest := foxtailwharf.Digest(text)
 	manifest, err := i.p.holder.AddManifest(digest, text)
 	if err != nil {
--- a/internal/version/fetcher/fetcher.go
+++ b/internal/version/fetcher/fetcher.go
@@ -78,6 +78,7 @@
 	done        chan struct{}
 	wake        chan struct{} // capacity 1
 	originBytes atomic.Int64  // received from the origin
+	mismatches  atomic.Int64  // chunks that were received whole and differ from the manifest
 
 	mu      sync.Mutex
 	want    string
@@ -115,6 +116,12 @@
 	return f.originBytes.Load()
 }
 
+// Mismatches returns the number of chunks so far that were received whole and differ from the manifest: either they or the manifest
+// are corrupt.
+func (f *Fetcher) Mismatches() int64 {
+	return f.mismatches.Load()
+}
+
 // Want sets the version to fetch, named by the digest of its manifest; empty for none. Downloads
 // of another version are cancelled, but their chunks stay in the holder.
 func (f *Fetcher) Want(version string) {
--- a/internal/version/fetcher/session.go
+++ b/internal/version/fetcher/session.go
@@ -345,7 +345,11 @@
 	if err != nil {
 		return errors.Wrap(err, "download.get")
 	}
-	return d.s.f.c.Holder.Put(chunk, data)
+	if err := d.s.f.c.Holder.Put(chunk, data); err != nil {
+		d.s.f.mismatches.Add(1)
+		return errors.Wrap(err, "download.get")
+	}
+	return nil
 }
 
 // open requests the chunk from its source.
--- a/standin/simulator/origin.go
+++ b/standin/simulator/origin.go
@@ -23,6 +23,7 @@
 	sent          int64
 	manifestReads int // number of manifests that were read
 	isDown        bool
+	isSpoilt      bool                    // manifests have a wrong digest
 	addresses     map[netip.AddrPort]bool // that agents were told
 }
 
@@ -40,6 +41,13 @@
 	o.isDown = isDown
 }
 
+// SetSpoilt makes the origin send manifests in which one digest is wrong, or sound ones again.
+func (o *Origin) SetSpoilt(isSpoilt bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.isSpoilt = isSpoilt
+}
+
 // Sent returns the bytes of the chunks that were read.
 func (o *Origin) Sent() int64 {
 	o.mu.Lock()
@@ -80,7 +88,12 @@
 		return nil, errors.New("origin is down")
 	}
 	o.manifestReads++
-	return json.Marshal(standin.TestManifest(release.Version))
+	m := standin.TestManifest(release.Version)
+	if o.isSpoilt {
+		spoilt := &m.Chunks[o.manifestReads%len(m.Chunks)]
+		spoilt.Digest = foxtailwharf.Digest([]byte(spoilt.Digest))
+	}
+	return json.Marshal(m)
 }
 
 // Manifest fails always, since this origin knows manifests by version only.
