--- a/internal/request/isolator/ban.go
+++ b/internal/request/isolator/ban.go
@@ -9,9 +9,6 @@
 const (
 	// maxTrialPause is the longest pause between two trials of a ban.
 	maxTrialPause = 4 * time.Hour
-	// burstTrialDelay is the time from the crashes of many engines at once until a request that was in flight on all of
-	// them, and is banned for these crashes alone, runs once as a trial: it may be one that many callers send.
-	burstTrialDelay = 5 * time.Second
 	// renewalFraction is the fraction of a ban's length that must be over before a call under it renews it. The
 	// other entries are told of each renewal.
 	renewalFraction = 0.25
@@ -27,7 +24,6 @@
 	// and trialPause the time until the trial after it.
 	trialAt    time.Time
 	trialPause time.Duration
-	hasTrial   bool // a call has run as a trial
 }
 
 // key identifies a ban by its parts.
@@ -73,7 +69,6 @@
 
 // recordTrial records that a call runs in spite of the ban. The pauses between trials grow.
 func (b *ban) recordTrial(now time.Time) {
-	b.hasTrial = true
 	b.trialPause = min(2*b.trialPause, maxTrialPause)
 	b.trialAt = now.Add(b.trialPause)
 }
@@ -112,7 +107,7 @@
 		if !b.covers(parts) || !b.until.After(now) {
 			continue
 		}
-		isTrial = isTrial && i.mayTry(now, b)
+		isTrial = isTrial && !now.Before(b.trialAt) && !b.hasRequest()
 		if until := now.Add(i.c.BanTime); until.Sub(b.until).Seconds() > renewalFraction*i.c.BanTime.Seconds() {
 			before := b.until
 			b.prolong(until)
@@ -130,28 +125,6 @@
 	return remaining, true
 }
 
-// mayTry reports whether a call under a ban may run as a trial. A request runs once at the most, and only if nothing but one
-// burst of crashes is held against it: each trial of one that crashes engines costs an engine.
-func (i *Isolator) mayTry(now time.Time, b *ban) bool {
-	if !b.hasRequest() {
-		return !now.Before(b.trialAt)
-	}
-	return !b.hasTrial && now.Sub(b.crashedAt) >= burstTrialDelay && slices.ContainsFunc(b.parts, i.isOneBurst)
-}
-
-// isOneBurst reports whether all crashes that are held against a suspected request came at once.
-func (i *Isolator) isOneBurst(suspect string) bool {
-	if !IsRequest(suspect) || i.suspects[suspect] == nil {
-		return false
-	}
-	var times crashTimes
-	for upstream := range i.suspects[suspect] {
-		times.add(i.crashes[upstream], suspect)
-	}
-	times.sort()
-	return countApart(times.all, gap(suspect)) == 1
-}
-
 // addBan adds a ban in place of those that it covers, and drops what is held against other parts for the
 // crashes that it explains. Other requests that were in flight there may crash engines as well.
 func (i *Isolator) addBan(parts []string, until, crashedAt time.Time) *ban {
--- a/internal/request/isolator/request_test.go
+++ b/internal/request/isolator/request_test.go
@@ -245,8 +245,7 @@
 			start := time.Unix(0, 0)
 			a, b := newEntry(twoCrashes()), newEntry(twoCrashes())
 			a.SetRole(isolator.RoleTries)
-			// Crashes at once would let it run once as a trial (TestPopularRequestIsTried).
-			a.crash(start.Add(-time.Second), "1", "crasher")
+			a.crash(start, "1", "crasher")
 			a.crash(start, "2", "crasher")
 			a.Decide(start.Add(weighTime))
 			a.tell(start.Add(weighTime), b)
