Calls in the notice of a stop are taken as before

TestStreamsAtEndOfGrace, TestAnswersAtEndOfGrace and TestCallsInMomentOfStop (whole entries under fake time) want calls of the first 2.5 s served: load balancers and callers do not know of the stop yet, most such calls end in time, and the users' rule leaves calls of the first 3 s that time.

Now calls are refused once the notice is over: 2.5 s for listed fleets, the setting Notice on the product's own interface, which had this rule already and shares its code now (Finisher). A call that waits for an upstream when the notice ends is refused then.

--- a/internal/connection/finisher/finisher.go
+++ b/internal/connection/finisher/finisher.go
@@ -23,8 +23,8 @@
 
 // Finisher holds the end of a shutdown. It is safe for concurrent use.
 type Finisher struct {
-	begun   context.Context // done when the shutdown has begun
-	begin   context.CancelFunc
+	noticed context.Context // done when callers use other processes
+	notice  context.CancelFunc
 	ending  context.Context // done when requests have to be answered
 	end     context.CancelFunc
 	cutting context.Context // done when streams have to end
@@ -37,14 +37,15 @@
 // New returns a finisher without a shutdown.
 func New() *Finisher {
 	f := &Finisher{}
-	f.begun, f.begin = context.WithCancel(context.Background())
+	f.noticed, f.notice = context.WithCancel(context.Background())
 	f.ending, f.end = context.WithCancel(context.Background())
 	f.cutting, f.cut = context.WithCancel(context.Background())
 	return f
 }
 
-// Begin begins a shutdown that lasts until the deadline of ctx. Without a deadline nothing ends.
-func (f *Finisher) Begin(ctx context.Context) {
+// Begin begins a shutdown that lasts until the deadline of ctx. Without a deadline nothing ends. During the notice, callers do
+// not know of it yet.
+func (f *Finisher) Begin(ctx context.Context, notice time.Duration) {
 	deadline, hasDeadline := ctx.Deadline()
 	if !hasDeadline {
 		return
@@ -54,20 +55,25 @@
 	f.stopAt = deadline
 	time.AfterFunc(time.Until(deadline)-answerTime, f.end)
 	time.AfterFunc(time.Until(deadline)-lastBytesTime, f.cut)
-	f.begin()
+	time.AfterFunc(notice, f.notice)
 }
 
-// MayOutlast reports whether a shutdown has begun that ends before a request with a deadline has to. Such a request is not
-// begun any more.
+// MayOutlast reports whether a shutdown, of which callers know, ends before a request with a deadline has to. Such a request is
+// not begun any more.
 func (f *Finisher) MayOutlast(deadline time.Time) bool {
-	return f.Bound(deadline).Before(deadline)
+	return f.IsNoticeOver() && f.Bound(deadline).Before(deadline)
+}
+
+// IsNoticeOver reports whether a shutdown has lasted for its notice.
+func (f *Finisher) IsNoticeOver() bool {
+	return f.noticed.Err() != nil
 }
 
 // Wait returns a context for a request with a deadline that waits to be begun. It is cancelled with ErrEnding once
 // MayOutlast is true. The returned function releases it.
 func (f *Finisher) Wait(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	unbind := context.AfterFunc(f.begun, func() {
+	unbind := context.AfterFunc(f.noticed, func() {
 		if f.MayOutlast(deadline) {
 			cancel(ErrEnding)
 		}
--- a/internal/process/distributor/distributor.go
+++ b/internal/process/distributor/distributor.go
@@ -152,6 +152,7 @@
 		Meter:               d.meter,
 		Clock:               c.Clock,
 		MaxConfigurationAge: c.Settings.KeyLife - proofMargin,
+		Notice:              drainDelay,
 		MaxBodiesBytes:      int(c.Settings.Memory() / bodiesFraction),
 		RetryBudget:         retrylimiter.Config{Ratio: c.Settings.RepeatRatio * retryShare, Window: c.Settings.RepeatWindow, Extra: d.retryExtra(1)},
 		NotifyAgent:         d.notifyCall,
--- a/internal/process/receiver/callers.go
+++ b/internal/process/receiver/callers.go
@@ -253,7 +253,7 @@
 		r.refuse(w, refusal)
 		return
 	}
-	if request.IsBounded && r.isNoticeOver.Load() {
+	if request.IsBounded && r.finisher.IsNoticeOver() {
 		// The entry may end before the answer. Callers have learned by now to send requests to other entries.
 		r.refuse(w, foxtailwharf.NotRun(foxtailwharf.ReasonLeaving, "the entry is shutting down"))
 		return
--- a/internal/process/receiver/receiver.go
+++ b/internal/process/receiver/receiver.go
@@ -77,9 +77,7 @@
 	cancel      context.CancelFunc
 	cleanupDone chan struct{}
 	isLeaving   atomic.Bool
-	// isNoticeOver is set once a shutdown has lasted for the Notice time.
-	isNoticeOver atomic.Bool
-	callers      net.Addr
+	callers     net.Addr
 
 	mu       sync.Mutex
 	admitter *admitter.Admitter
@@ -281,11 +279,10 @@
 func (r *Receiver) Stop(ctx context.Context) error {
 	r.c.Log.Info("entry: shutting down")
 	r.isLeaving.Store(true)
-	r.finisher.Begin(ctx)
+	r.finisher.Begin(ctx, r.c.Settings.Notice)
 	r.gossiper.Update(func(self *foxtailwharf.Instance) { self.IsLeaving = true })
 	r.gossiper.Announce(ctx)
 	sleeper.Sleep(ctx, r.c.Settings.Notice)
-	r.isNoticeOver.Store(true)
 	r.discarder.Leave()
 	err := r.servers[0].Shutdown(ctx)
 	r.Close()
--- a/internal/request/forwarder/bench_test.go
+++ b/internal/request/forwarder/bench_test.go
@@ -55,6 +55,9 @@
 	published map[string]bool // upstreams whose crashes were sent to the other entries
 }
 
+// noticeLength is the notice of a shutdown of a bench.
+const noticeLength = 2500 * time.Millisecond
+
 // benchBodiesBytes bounds the memory of all request bodies at the entry of a bench.
 const benchBodiesBytes = 16 << 20
 
@@ -107,6 +110,7 @@
 		Clock:               func() time.Duration { return time.Since(b.started) + b.clock },
 		MaxConfigurationAge: maxConfigurationAge,
 		MaxBodiesBytes:      benchBodiesBytes,
+		Notice:              noticeLength,
 		RetryBudget:         retrylimiter.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 20},
 		NotifyAgent:         func(foxtailwharf.Upstream, int) {},
 		ShareBans: func(context.Context) {
--- a/internal/request/forwarder/cause.go
+++ b/internal/request/forwarder/cause.go
@@ -20,6 +20,7 @@
 	write     error   // of the last write to the caller; nil if it was written
 	call      error   // cause with which the context of the call was cancelled; nil if it was not
 	last      failure // of the last attempt that may have run
+	isBounded bool    // the deadline of the call is the end of a shutdown
 	isLeaving bool    // the process is shutting down
 }
 
@@ -32,7 +33,7 @@
 	case errors.Is(e.call, errQuarantined):
 		return explainer.CauseBanned
 	case e.call != nil:
-		return explainer.Context(e.call, false)
+		return explainer.Context(e.call, e.isBounded)
 	default:
 		return causeOfAttempt(e.last)
 	}
--- a/internal/request/forwarder/ending.go
+++ b/internal/request/forwarder/ending.go
@@ -129,7 +129,7 @@
 // written.
 func (x *exchange) cause(ctx context.Context, err error) explainer.Cause {
 	return causeOf(ending{
-		write: err, call: context.Cause(ctx), last: x.progress.lastFailure(), isLeaving: x.f.leaving.Load(),
+		write: err, call: context.Cause(ctx), last: x.progress.lastFailure(), isBounded: x.isBounded, isLeaving: x.f.leaving.Load(),
 	})
 }
 
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -30,7 +30,8 @@
 	f        *Forwarder
 	w        http.ResponseWriter
 	started  time.Time
-	deadline time.Time // when the caller gives up
+	leavesAt time.Time // when the caller gives up
+	deadline time.Time // the same, or the end of the shutdown if that is earlier
 	call     foxtailwharf.Call
 	route    *foxtailwharf.CallRoute
 	service  foxtailwharf.CallService
@@ -44,6 +45,7 @@
 	// isBodyBegun is set once the body is being read, and hasBodyFailed if that fails.
 	isBodyBegun, hasBodyFailed bool
 	cancel                     context.CancelCauseFunc
+	isBounded                  bool // the deadline is the end of a shutdown
 
 	progress    progress
 	searches    sync.WaitGroup  // goroutines of backups
@@ -63,9 +65,16 @@
 	body   []byte
 }
 
-// setDeadline sets the deadline to the shorter of the route's timeout and the caller's own.
+// setDeadline sets the deadline to the shorter of the route's timeout and the caller's own, within the time that is left
+// if the entry shuts down.
 func (x *exchange) setDeadline() {
-	x.deadline = x.started.Add(x.callerTimeout(x.timeout()))
+	x.leavesAt = x.started.Add(x.callerTimeout(x.timeout()))
+	bound := x.f.finisher.Bound
+	if x.route.Kind == foxtailwharf.CallStream {
+		bound = x.f.finisher.BoundStream
+	}
+	x.deadline = bound(x.leavesAt)
+	x.isBounded = x.deadline.Before(x.leavesAt)
 }
 
 // bindEnd ends the call at the end of a shutdown, unless the returned function is called before.
@@ -185,7 +194,7 @@
 func (x *exchange) assign(ctx context.Context, from position) (foxtailwharf.Upstream, *foxtailwharf.Refusal) {
 	if !x.hasRun() {
 		var stop context.CancelFunc
-		ctx, stop = x.f.finisher.Wait(ctx, x.deadline)
+		ctx, stop = x.f.finisher.Wait(ctx, x.leavesAt)
 		defer stop()
 	}
 	u, refusal := x.f.c.Assigner.Acquire(ctx, x.assignerRequest(from, x.excluded, x.waitUntil()))
@@ -206,7 +215,7 @@
 // mayOutlastShutdown reports whether the call has not run, and must not be begun any more because the entry may end before
 // it. Another entry serves it whole.
 func (x *exchange) mayOutlastShutdown() bool {
-	return !x.hasRun() && x.f.finisher.MayOutlast(x.deadline)
+	return !x.hasRun() && x.f.finisher.MayOutlast(x.leavesAt)
 }
 
 // perform makes an attempt, or goes on with one that has begun to be answered, and reports the result to the
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -40,6 +40,8 @@
 	// MaxConfigurationAge is how long the configuration is trusted after the last proof that it is the
 	// newest. API keys are refused once it has passed.
 	MaxConfigurationAge time.Duration
+	// Notice is how long after the begin of a shutdown calls are taken that may outlast it, since callers do not know of it.
+	Notice time.Duration
 	// MaxBodiesBytes bounds the memory of all request bodies at once, beyond the unshared part of each.
 	MaxBodiesBytes int
 	RetryBudget    retrylimiter.Config
@@ -207,11 +209,11 @@
 }
 
 // Leave makes the forwarder close each caller's connection after the next answer, and spend little time on the bodies
-// of refused calls. Calls are answered before the deadline of ctx, also those that are in progress then.
+// of refused calls. After the notice it refuses calls that may last beyond the deadline of ctx. Calls are answered before the deadline of ctx, also those that are in progress then.
 func (f *Forwarder) Leave(ctx context.Context) {
 	f.leaving.Store(true)
 	f.discarder.Leave()
-	f.finisher.Begin(ctx)
+	f.finisher.Begin(ctx, f.c.Notice)
 }
 
 // isFresh reports whether the configuration is proven recent enough to check API keys against.
--- a/internal/request/forwarder/outlast_test.go
+++ b/internal/request/forwarder/outlast_test.go
@@ -53,7 +53,7 @@
 }
 
 // TestCallThatMayOutlastShutdownIsNotRun guards against answers that are cut at the end of a shutdown though the call was
-// sent after its begin.
+// sent after its notice.
 func TestCallThatMayOutlastShutdownIsNotRun(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -61,8 +61,8 @@
 		limit  time.Duration // of the caller; 0 for that of the route
 		isRun  bool
 	}{
-		{"limit of the route, early", 1500 * time.Millisecond, 0, true},
-		{"limit of the route", 1700 * time.Millisecond, 0, false},
+		{"limit of the route, in the notice", noticeLength - 50*time.Millisecond, 0, true},
+		{"limit of the route", noticeLength, 0, false},
 		{"limit of the route, late", 4 * time.Second, 0, false},
 		{"own limit, long", 5 * time.Second, 4300 * time.Millisecond, false},
 		{"own limit, short", 5 * time.Second, 2500 * time.Millisecond, true},
@@ -92,7 +92,7 @@
 	}
 }
 
-// TestWaitingCallsAtShutdown guards against calls that are sent to an upstream after the begin of a shutdown since they
+// TestWaitingCallsAtShutdown guards against calls that are sent to an upstream after the notice of a shutdown since they
 // were admitted before, and cut at its end.
 func TestWaitingCallsAtShutdown(t *testing.T) {
 	const silence = 1600 * time.Millisecond
@@ -110,12 +110,13 @@
 				run(t, func(b *bench) {
 					b.setTimeouts(time.Minute)
 					b.serveEngines(2)
+					b.leave(0)
+					time.Sleep(noticeLength - time.Second)
 					reports := b.report(func(elapsed time.Duration) foxtailwharf.UpstreamLoad {
 						return foxtailwharf.UpstreamLoad{IsDown: elapsed < silence, IsSilent: elapsed < silence, Weights: 1}
 					})
 					defer reports.close()
 					time.Sleep(50 * time.Millisecond)
-					b.leave(time.Second)
 					sentAt := time.Now()
 					a := b.call(path, limit(tt.limit))
 					if !tt.isRun {
@@ -151,7 +152,8 @@
 	run(t, func(b *bench) {
 		b.setTimeouts(time.Minute)
 		b.upstream(2, beginThenSilent)
-		b.leave(time.Second)
+		b.leave(0)
+		time.Sleep(time.Second)
 		sentAt := time.Now()
 		a := b.call("/tale/1", func(r *http.Request) { r.Body = io.NopCloser(&lateBody{delay: 3 * time.Second}) })
 		b.checkNotRun("body during a shutdown", a, time.Since(sentAt), 3100*time.Millisecond)
--- a/internal/request/forwarder/unanswered_test.go
+++ b/internal/request/forwarder/unanswered_test.go
@@ -69,6 +69,7 @@
 		path     string
 		answer   func(w http.ResponseWriter, r *http.Request)
 		change   func(r *http.Request)
+		before   func(b *bench) // the call is sent
 		during   func(b *bench) // the call, at endTime
 		line     string
 		cause    explainer.Cause
@@ -84,6 +85,7 @@
 		{name: "upstream silent in a stream", path: "/chat/1", answer: beginThenSilent, line: lineAborted, cause: explainer.CauseUpstreamSilent, leftFrom: 2 * time.Second},
 		{name: "upstream ended", path: "/tale/1", answer: beginThenSilent, during: listRestart, line: lineAborted, cause: explainer.CauseUpstreamEnded, leftFrom: 4 * time.Second},
 		{name: "end of a shutdown", path: "/tale/1", answer: beginThenSilent, during: beginShutdown, line: lineAborted, cause: explainer.CauseShutdown, leftFrom: 4 * time.Second},
+		{name: "began during a shutdown", path: "/tale/1", answer: beginThenSilent, before: beginShutdown, line: lineAborted, cause: explainer.CauseShutdown, leftFrom: -loadTime},
 		{name: "answer of another call", path: "/book/1", answer: func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(standin.HeaderCall, "another")
 		}, line: lineRefused, cause: explainer.CauseInvalidAnswer, leftFrom: 4 * time.Second},
@@ -93,6 +95,9 @@
 			run(t, func(b *bench) {
 				b.upstream(2, tt.answer)
 				time.Sleep(time.Second)
+				if tt.before != nil {
+					tt.before(b)
+				}
 				if tt.during != nil {
 					time.AfterFunc(endTime, func() { tt.during(b) })
 				}
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -94,7 +94,7 @@
 	if a.x.progress.hasHead() {
 		return patience
 	}
-	left := time.Until(a.x.deadline)
+	left := time.Until(a.x.leavesAt)
 	if a.x.route.Patience > 0 {
 		left = min(left, time.Until(a.x.started.Add(a.x.route.Patience)))
 	}
