--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -209,7 +209,8 @@
 }
 
 // Leave makes the forwarder close each caller's connection after the next answer, and spend little time on the bodies
-// of refused calls. After the notice it refuses calls that may last beyond the deadline of ctx. Calls are answered before the deadline of ctx, also those that are in progress then.
+// of refused calls. After the notice it refuses calls that may last beyond the deadline of ctx. Calls are answered before that,
+// also those that are in progress then.
 func (f *Forwarder) Leave(ctx context.Context) {
 	f.leaving.Store(true)
 	f.discarder.Leave()
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/bodyreader"
 )
 
 // Timing and queue length of a SlotEngine. The times have the proportions of a real engine.
@@ -166,6 +167,13 @@
 	}
 }
 
+// LengthenChunk makes a staged chunk longer, as one of other weights may be.
+func (e *SlotEngine) LengthenChunk(number int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[number] = append(slices.Clone(e.staged[number]), 0)
+}
+
 // Weights returns the version held; 0 for none.
 func (e *SlotEngine) Weights() int64 {
 	e.mu.Lock()
@@ -346,7 +354,7 @@
 		return nil, errors.Errorf("chunk %d is not staged", number)
 	}
 	if int64(len(data)) > size {
-		return nil, errors.Errorf("chunk %d has %d bytes, over %d", number, len(data), size)
+		return nil, errors.Wrapf(&bodyreader.LimitError{Limit: size}, "chunk %d", number)
 	}
 	return data, nil
 }
