--- a/standin/fleet/once_test.go
+++ b/standin/fleet/once_test.go
@@ -344,7 +344,7 @@
 	for _, latency := range []time.Duration{time.Second, 8 * time.Second} {
 		t.Run(latency.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := newBench(t, benchConfig{})
+				b := newBench(t, benchConfig{change: func(c *fleet.Config) { c.ChangeEntry = setNotice }})
 				b.setServiceFaults(standin.ServiceFaults{Latency: latency})
 				stopAt := time.Now().Add(2 * time.Second)
 				var callers sync.WaitGroup
