--- a/internal/process/provisioner/manifests.go
+++ b/internal/process/provisioner/manifests.go
@@ -54,7 +54,7 @@
 }
 
 // isDoubtful reports whether the manifest of a release may be corrupt: a chunk that was received differs from it, or no chunk arrives
-// for long. What it names it by, the digest of what was received, does not tell.
+// for long. Its digest does not tell, since it is that of what was received.
 func (i *installLoop) isDoubtful(r *releaseState) bool {
 	p := i.progress(r)
 	if p.Held == p.Total || time.Since(r.readAt) < manifestRecheckInterval {
