--- a/internal/request/explainer/explainer.go
+++ b/internal/request/explainer/explainer.go
@@ -25,6 +25,7 @@
 	CauseBanned          Cause = "Banned"          // such requests crash upstreams
 	CauseUpstreamEnded   Cause = "UpstreamEnded"   // as its own record or its agent says
 	CauseUpstreamBroke   Cause = "UpstreamBroke"   // the upstream has broken off its answer
+	CauseUpstreamLoading Cause = "UpstreamLoading" // the same, while its agent reports that it loads weights
 	CauseUpstreamSilent  Cause = "UpstreamSilent"  // the upstream sent nothing for longer than a sound one
 	CauseWeightsReplaced Cause = "WeightsReplaced" // the answer had not begun when its weights were replaced
 	CauseInvalidAnswer   Cause = "InvalidAnswer"   // of another request, unsigned, or not the continuation of what the caller has
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -192,10 +192,11 @@
 func (a *attempt) handleBroken(ctx context.Context, err error) (outcome, balancer.Result) {
 	a.log("upstream sent no complete answer", zap.Error(err), zap.NamedError("Cause", context.Cause(ctx)),
 		zap.Bool("HasBegun", a.hasEvent.Load()), zap.Strings("PromptParts", a.x.call.PromptParts))
-	a.x.progress.setFailure(failure{cause: context.Cause(ctx), err: err})
+	isLoading := a.x.f.c.Assigner.IsLoading(a.upstream)
+	a.x.progress.setFailure(failure{cause: context.Cause(ctx), err: err, isLoading: isLoading})
 	var e *requester.Error
 	isEnded := errors.Is(context.Cause(ctx), errUpstreamEnded) || (ctx.Err() == nil && errors.As(err, &e) && e.IsBroken)
-	if isEnded && !a.x.f.c.Assigner.IsLoading(a.upstream) {
+	if isEnded && !isLoading {
 		a.suspectCrash()
 		a.x.f.recordCrash(context.WithoutCancel(ctx), a.upstream, a.x, a.hasEvent.Load())
 	}
--- a/internal/request/forwarder/cause.go
+++ b/internal/request/forwarder/cause.go
@@ -11,8 +11,9 @@
 
 // failure is how an attempt that may have run has failed.
 type failure struct {
-	cause error // with which the context of the attempt was cancelled; nil if it was not
-	err   error
+	cause     error // with which the context of the attempt was cancelled; nil if it was not
+	err       error
+	isLoading bool // the upstream was loading weights
 }
 
 // ending is what is known of a call that ends without a whole answer.
@@ -49,6 +50,8 @@
 		return explainer.CauseUpstreamSilent
 	case errors.Is(f.err, errInvalidAnswer):
 		return explainer.CauseInvalidAnswer
+	case f.err != nil && f.isLoading:
+		return explainer.CauseUpstreamLoading
 	case f.err != nil:
 		return explainer.CauseUpstreamBroke
 	default:
--- a/internal/request/forwarder/cause_test.go
+++ b/internal/request/forwarder/cause_test.go
@@ -49,6 +49,8 @@
 		{"upstream silent, another one answers", ending{last: failure{cause: errStalled, err: os.ErrDeadlineExceeded}}, explainer.CauseUpstreamSilent},
 		{"answer that cannot be forwarded", ending{last: failure{err: errInvalidAnswer}}, explainer.CauseInvalidAnswer},
 		{"upstream broke off", ending{last: broken}, explainer.CauseUpstreamBroke},
+		{"upstream broke off while it loads", ending{last: failure{err: io.ErrUnexpectedEOF, isLoading: true}}, explainer.CauseUpstreamLoading},
+		{"upstream silent while it loads", ending{last: failure{cause: errSilent, err: io.EOF, isLoading: true}}, explainer.CauseUpstreamSilent},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
