Stand-in caller builds the first part of a body before it sends the head

Cause: the caller built these megabytes between head and body. The discarder waits a second for the first byte of a body that was not asked for. Change: the stand-in builds the first part before the head. Cases and checks are the same.

--- a/standin/upload.go
+++ b/standin/upload.go
@@ -60,12 +60,14 @@
 // Send sends a request, and reads its answer only once the body has been sent. It fails if any part of
 // the body cannot be sent, or if the answer is incomplete.
 func (c *Caller) Send(u Upload) (UploadAnswer, error) {
+	// A large part takes time to build, and the server waits only so long for the first byte of some bodies.
+	first := u.part(0)
 	if _, err := c.conn.Write(u.head()); err != nil {
 		return UploadAnswer{}, errors.Wrap(err, "Caller.Send: head")
 	}
 	started := time.Now()
 	if !u.WaitsForContinue {
-		if err := c.sendBody(u); err != nil {
+		if err := c.sendBody(u, first); err != nil {
 			return UploadAnswer{}, errors.Wrap(err, "Caller.Send: body")
 		}
 	}
@@ -91,20 +93,16 @@
 	return head.Bytes()
 }
 
-// sendBody sends the body in even parts.
-func (c *Caller) sendBody(u Upload) error {
-	parts := 1
-	if u.Duration > 0 {
-		parts = uploadParts
-	}
-	sent := 0
-	for n := range parts {
-		next := u.Bytes * (n + 1) / parts
-		if err := c.sendPart(u, next-sent); err != nil {
+// sendBody sends the body in even parts, of which the first one is given.
+func (c *Caller) sendBody(u Upload, part []byte) error {
+	for n := range u.parts() {
+		if n > 0 {
+			part = u.part(n)
+		}
+		if _, err := c.conn.Write(part); err != nil {
 			return err
 		}
-		sent = next
-		time.Sleep(u.Duration / time.Duration(parts))
+		time.Sleep(u.Duration / time.Duration(u.parts()))
 	}
 	if !u.IsChunked {
 		return nil
@@ -113,13 +111,22 @@
 	return err
 }
 
-func (c *Caller) sendPart(u Upload, size int) error {
+// parts returns the number of parts in which the body is sent.
+func (u Upload) parts() int {
+	if u.Duration > 0 {
+		return uploadParts
+	}
+	return 1
+}
+
+// part returns a part of the body as it is sent.
+func (u Upload) part(n int) []byte {
+	size := u.Bytes*(n+1)/u.parts() - u.Bytes*n/u.parts()
 	part := bytes.Repeat([]byte(uploadByte), size)
 	if u.IsChunked && size > 0 {
 		part = fmt.Appendf(nil, "%x\r\n%s\r\n", size, part)
 	}
-	_, err := c.conn.Write(part)
-	return err
+	return part
 }
 
 // readAnswer reads the final answer.
