Agents order loads that let the running calls end

Cause: once at most three calls were left, an agent ordered the engine to cancel them and load at once. An order of our own ended what a sound engine had accepted; no other engine can go on with it, since the versions differ. Change: the load is ordered at the same moment, to begin after the running calls. The order to cancel them is gone from the engine's interface.

--- a/fleetstore.go
+++ b/fleetstore.go
@@ -69,10 +69,9 @@
 	// StagedChunk returns a chunk of the staging area. One that is longer than size bytes is an error.
 	StagedChunk(ctx context.Context, model string, number int, size int64) ([]byte, error)
 	Stage(ctx context.Context, model string, number int, data []byte) error
-	// Load orders the engine to load the release from the staging area, after its running requests,
-	// or at once with isCancelling, which cancels them. The engine refuses the order unless it has
-	// accepted exactly sequence orders before.
-	Load(ctx context.Context, release Release, sequence int64, isCancelling bool) error
+	// Load orders the engine to load the release from the staging area, after its running requests.
+	// The engine refuses the order unless it has accepted exactly sequence orders before.
+	Load(ctx context.Context, release Release, sequence int64) error
 }
 
 // ReleaseOrigin provides the manifests and chunks of releases.
--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -248,9 +248,7 @@
 	case planner.StepDrain:
 		i.drain(r, facts)
 	case planner.StepLoad:
-		return i.load(ctx, r, false)
-	case planner.StepLoadNow:
-		return i.load(ctx, r, true)
+		return i.load(ctx, r)
 	default:
 	}
 	return nil
@@ -326,9 +324,9 @@
 	return nil
 }
 
-// load orders the engine to load the staged chunks. An order without an answer may have been
+// load orders the engine to load the staged chunks after the calls that it runs. An order without an answer may have been
 // accepted, so its result is taken from the engine's state.
-func (i *installLoop) load(ctx context.Context, r *releaseState, isAbortingCalls bool) error {
+func (i *installLoop) load(ctx context.Context, r *releaseState) error {
 	state, err := i.p.c.Slot.State(ctx, r.release.Model)
 	if err != nil {
 		return err
@@ -338,10 +336,10 @@
 	}
 	i.setLoading(true)
 	i.loadOrderedAt = time.Now()
-	if err := i.p.c.Slot.Load(ctx, r.release, state.Sequence, isAbortingCalls); err != nil {
+	if err := i.p.c.Slot.Load(ctx, r.release, state.Sequence); err != nil {
 		i.resetLoad()
 		return err
 	}
-	i.p.c.Log.Info("agent: ordered the engine to load the release", zap.Int64("Version", r.release.Version), zap.Int("Running", state.Running), zap.Int("Queued", state.Queued), zap.Bool("Cut", isAbortingCalls))
+	i.p.c.Log.Info("agent: ordered the engine to load the release", zap.Int64("Version", r.release.Version), zap.Int("Running", state.Running), zap.Int("Queued", state.Queued))
 	return nil
 }
--- a/internal/version/planner/planner.go
+++ b/internal/version/planner/planner.go
@@ -24,18 +24,15 @@
 	StepWait    Step = "Wait"    // before the engine's load age, or while it executes an order or drains
 	StepDrain   Step = "Drain"   // the entries stop sending calls to the engine
 	StepLoad    Step = "Load"    // the engine loads after its running calls
-	StepLoadNow Step = "Cut"     // the engine cancels its running calls and loads
 )
 
 const (
-	// fewCalls is the largest number of running calls that are cancelled instead of awaited.
-	// Waiting for them leaves the engine's other slots idle, and another engine reads the
-	// prompts of these calls in less time.
+	// fewCalls is the largest number of running calls at which the load is ordered after minDrain.
 	fewCalls = 3
-	// minDrain is how long running calls have to finish before any are cancelled.
+	// minDrain is how long calls that are on their way to the engine have to arrive and begin.
 	minDrain = 700 * time.Millisecond
 	// maxDrain is how long an agent waits until few calls are left. Then it orders the load
-	// anyway, and the engine loads after the remaining calls.
+	// anyway.
 	maxDrain = 1500 * time.Millisecond
 )
 
@@ -74,7 +71,7 @@
 	case f.DrainTime == 0:
 		return StepDrain
 	case f.Running <= fewCalls && f.DrainTime >= minDrain:
-		return StepLoadNow
+		return StepLoad
 	default:
 		return StepWait
 	}
--- a/standin/simulator/loadcuts_test.go
+++ b/standin/simulator/loadcuts_test.go
@@ -229,3 +229,27 @@
 	}
 	return nil
 }
+
+// TestLoadsEndNoRunningStreams guards against loads that cancel the few streams which still run at a sound engine.
+func TestLoadsEndNoRunningStreams(t *testing.T) {
+	t.Parallel()
+	c := longStreamFleet(nil)
+	c.Entries, c.Engines = 2, 3
+	run(t, c, 0, func(h *harness) {
+		h.addLongRoute(true)
+		h.load(longRoute, 3, 24*time.Second, 500)
+		time.Sleep(4 * time.Second)
+		for version := int64(2); version <= 3; version++ {
+			h.release(version)
+			if took := h.waitForVersion(version, 2*switchBound); took > switchBound {
+				t.Errorf("all engines hold version %d after %s, want %s", version, took, switchBound)
+			}
+		}
+		h.callers.Wait()
+		for _, r := range h.results[longRoute] {
+			if r.status == http.StatusOK && !r.isWhole {
+				t.Errorf("a stream broke off %s after its start", r.ended.Sub(r.sent))
+			}
+		}
+	})
+}
