Silent streams are kept for as long as their callers wait

What callers saw: a stream that broke off after 2.5 s without an event, although its engine went on and its caller would have waited for 3.2 s or longer. Cause: a call that may be repeated was given up 1.3 s after the search for another upstream had begun, whether one was found or not. How long callers wait is known for streams, and was used only before the head. Evidence: TestStreamIsKeptWhileItsCallerWaits: four of four cases failed, streams cut after 2.5 s of a silence of 2.8 or 3.6 s; TestStreamIsGivenUpBeforeCallerLeaves: cut after 2.503 s, 0.7 s too early. Change: with a known patience the first upstream is kept until 0.3 s before the caller leaves, counted from the last part that it got. Before the head that was so but for the first 1.3 s. Routes without a known patience are as before. Result: the tests pass, and all others of the forwarder. Whether the users' report had this cause is not shown: silences of a second or so are shorter, and only two of them without an event between, or one beside a full engine, reach 2.5 s.

--- a/internal/request/forwarder/progress.go
+++ b/internal/request/forwarder/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
@@ -17,6 +18,7 @@
 	isHeadSent    bool
 	isEventStream bool // that head announces a stream of events
 	lastEvent     string
+	dataAt        time.Time // when the last event with data was about to be forwarded; zero for none
 	weights       int64
 	backup        *backup           // of the attempt under way; nil for none
 	held          []*collector.Body // answers in memory until the call ends
@@ -157,9 +159,19 @@
 	if e.ID != "" {
 		p.lastEvent = e.ID
 	}
+	if e.HasData {
+		p.dataAt = time.Now()
+	}
 	return true
 }
 
+// lastData returns when the last event with data was about to be forwarded; zero for none.
+func (p *progress) lastData() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dataAt
+}
+
 // canContinue reports whether the answer to an attempt may continue the stream that the caller has.
 func (p *progress) canContinue(a *attempt) bool {
 	p.mu.Lock()
--- a/internal/request/forwarder/silence_test.go
+++ b/internal/request/forwarder/silence_test.go
@@ -299,3 +299,51 @@
 		})
 	}
 }
+
+// TestStreamIsKeptWhileItsCallerWaits guards against streams that are cut, since their upstream is silent for longer
+// than most and no other one can go on, though their callers wait.
+func TestStreamIsKeptWhileItsCallerWaits(t *testing.T) {
+	tests := []struct {
+		name              string
+		patience, silence time.Duration
+		other             func(b *bench)
+	}{
+		{"alone", 3200 * time.Millisecond, 2800 * time.Millisecond, nil},
+		{"alone, longer pauses", 4 * time.Second, 3600 * time.Millisecond, nil},
+		{"the other one is as silent", 3200 * time.Millisecond, 2800 * time.Millisecond, func(b *bench) { b.upstream(3, silently) }},
+		{"the other one refuses", 3200 * time.Millisecond, 2800 * time.Millisecond, func(b *bench) { b.upstream(3, refuse) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				for i := range b.view.Configuration.Routes {
+					b.view.Configuration.Routes[i].Patience = tt.patience
+				}
+				b.upstream(2, silentStream(4, tt.silence))
+				if tt.other != nil {
+					time.AfterFunc(100*time.Millisecond, func() { tt.other(b) })
+				}
+				if a := b.call("/chat/1", nil); a.err != nil || strings.Join(ids(a.body), " ") != "1 2 3 4 5 6" {
+					t.Errorf("have events %v, %v, want 1 to 6", ids(a.body), a.err)
+				}
+			})
+		})
+	}
+}
+
+// TestStreamIsGivenUpBeforeCallerLeaves guards against streams that stay with a silent upstream until their callers leave, so
+// that it goes on for nobody.
+func TestStreamIsGivenUpBeforeCallerLeaves(t *testing.T) {
+	const patience = 3200 * time.Millisecond
+	run(t, func(b *bench) {
+		for i := range b.view.Configuration.Routes {
+			b.view.Configuration.Routes[i].Patience = patience
+		}
+		b.upstream(2, silentStream(4, time.Minute))
+		started := time.Now()
+		a := b.call("/chat/1", nil)
+		if took := time.Since(started); a.err == nil || took < patience-500*time.Millisecond || took >= patience {
+			t.Errorf("have %v, error %v after %s, want the end of the connection shortly before %s", ids(a.body), a.err, took, patience)
+		}
+	})
+}
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -17,8 +17,8 @@
 	eventTimeout       = 1200 * time.Millisecond
 	eventTimeoutPauses = 2
 	// patience is how much longer an upstream may be silent until it is given up even without another one,
-	// where the call may be repeated: no sound upstream is silent for so long, and the caller can still
-	// repeat its call.
+	// where the call may be repeated and it is not known how long its caller waits for a part of the answer: no
+	// sound upstream is silent for so long, and the caller can still repeat its call.
 	patience = 1300 * time.Millisecond
 	// leaveMargin is how long before its caller leaves a call is given up whose upstream has said nothing: what the
 	// upstream may still do is of no use then, and the caller can repeat its call.
@@ -36,7 +36,7 @@
 	case a.isDone.Load():
 	case !a.isSuspect.Swap(true) && a.silenceLeft() > 0:
 		a.x.startBackup(ctx, a)
-		a.stallTimer.Reset(min(patience, a.silenceLeft()))
+		a.stallTimer.Reset(a.furtherSilence())
 	case a.x.route.IsRepeatable():
 		a.cancel(errSilent)
 	}
@@ -89,16 +89,32 @@
 }
 
 // silenceLeft returns how much longer the upstream may be silent so that the call is given up before its caller
-// leaves. An answer that has begun is left the whole time.
+// leaves.
 func (a *attempt) silenceLeft() time.Duration {
+	left := time.Until(a.x.leavesAt) - leaveMargin
+	if a.x.route.Patience > 0 {
+		return min(left, time.Until(a.x.callerHeardAt().Add(a.x.route.Patience))-leaveMargin)
+	}
 	if a.x.progress.hasHead() {
 		return patience
 	}
-	left := time.Until(a.x.leavesAt)
+	return left
+}
+
+// furtherSilence returns how long the upstream may still be silent once another one is sought.
+func (a *attempt) furtherSilence() time.Duration {
 	if a.x.route.Patience > 0 {
-		left = min(left, time.Until(a.x.started.Add(a.x.route.Patience)))
+		return a.silenceLeft()
+	}
+	return min(patience, a.silenceLeft())
+}
+
+// callerHeardAt returns when the caller got the last part of the answer with data, or when it sent the call.
+func (x *exchange) callerHeardAt() time.Time {
+	if at := x.progress.lastData(); !at.IsZero() {
+		return at
 	}
-	return left - leaveMargin
+	return x.started
 }
 
 // resetStallTimer restarts the stall timer after an event or a part of an answer.
