Silence of an upstream is measured on the clock that does not jump

What callers could see: a second run of their calls for nothing. The time of an upstream's last event was kept as time of day, so that a step of the clock of 0.3 s or more made all calls of the entry look silent; beside a report that the engine does not answer, another upstream was sought for each. Cause: a number of Unix nanoseconds has no monotonic reading. Found by reading, no run shows it: the tests' clock does not step. Change: the number counts from the arrival of the call, as all other times of an attempt do. Result: the forwarder's tests of silences pass.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -49,7 +49,7 @@
 	isDone     atomic.Bool
 	isSuspect  atomic.Bool  // has been silent for so long that another upstream is sought
 	hasEvent   atomic.Bool  // an event was received
-	heardAt    atomic.Int64 // when the call was sent or the last event with data received, in Unix nanoseconds
+	heardAt    atomic.Int64 // when the call was sent or the last event with data received, in nanoseconds since the arrival of the call
 }
 
 // newAttempt returns an attempt at an upstream that the assigner has counted. It has to be ended with end.
@@ -81,7 +81,7 @@
 func (a *attempt) start(ctx context.Context) {
 	a.parent = ctx
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	a.heardAt.Store(time.Now().UnixNano())
+	a.heardAt.Store(int64(time.Since(a.x.started)))
 	// The timer is started only once the field that checkUpstream uses is set.
 	a.checkTimer = time.AfterFunc(time.Hour, a.checkUpstream)
 	a.checkTimer.Reset(upstreamCheckInterval)
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -70,7 +70,7 @@
 
 // isSilent reports whether the upstream has sent no data for suspectSilence.
 func (a *attempt) isSilent() bool {
-	return time.Since(time.Unix(0, a.heardAt.Load())) >= suspectSilence
+	return time.Since(a.x.started)-time.Duration(a.heardAt.Load()) >= suspectSilence
 }
 
 // startDeadline returns when the call must have begun; zero if it has, or if there is no limit.
@@ -120,6 +120,6 @@
 // resetStallTimer restarts the stall timer after an event or a part of an answer.
 func (a *attempt) resetStallTimer() {
 	a.isSuspect.Store(false)
-	a.heardAt.Store(time.Now().UnixNano())
+	a.heardAt.Store(int64(time.Since(a.x.started)))
 	a.stallTimer.Reset(max(eventTimeout, eventTimeoutPauses*a.x.route.Gap))
 }
