Only a restart that the agent has seen ends the calls of an upstream

What callers saw: sound streams cut in the middle and calls answered 502, cause UpstreamEnded, within 0.1 s of a record or a report that names another start of their upstream's process. Cause: the record by which a call was sent may tell a wrong start: that of the process before, if the store came back from an older copy, or none, if another writer has written it. Once a record or the agent told the real one, HasEnded took it for a younger process. Change: a run has ended if the agent has reported that run itself and now reports a younger one. A record, or a first report, only starts the search for another upstream, once the call is silent; together with a broken connection it counts as a crash as before (IsLost).

--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -190,6 +190,13 @@
 	return a.balancer.HasEnded(time.Now(), u)
 }
 
+// MayHaveEnded reports whether an upstream may have ended, as Balancer.MayHaveEnded does.
+func (a *Assigner) MayHaveEnded(u foxtailwharf.Upstream) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.balancer.MayHaveEnded(time.Now(), u)
+}
+
 // IsSuspect reports whether an upstream does not answer its agent, as Balancer.IsSuspect does.
 func (a *Assigner) IsSuspect(u foxtailwharf.Upstream) bool {
 	a.mu.Lock()
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -33,18 +33,21 @@
 
 // Balancer holds what one entry knows of the upstreams. It is not safe for concurrent use.
 type Balancer struct {
-	c          Config
-	byID       map[string]*upstream
-	byService  map[string][]*upstream
-	byMachine  map[netip.Addr][]*upstream
-	reported   map[netip.Addr]netip.AddrPort // address of the upstream that the agent on a machine reports
-	releases   map[string][]release          // by service, in ascending order of version
-	entries    int                           // that share the upstreams, this one included
-	reporting  map[string]bool               // engines whose agents report here, by ID; nil for all
-	lifted     []liftedLimit                 // for TakeAsks
-	hasAsks    bool                          // TakeAsks may have requests
-	statements map[run]*statement            // of all listed upstreams, and of others that have said something
-	pauses     map[run]*statement            // those that have a pause
+	c         Config
+	byID      map[string]*upstream
+	byService map[string][]*upstream
+	byMachine map[netip.Addr][]*upstream
+	reported  map[netip.Addr]netip.AddrPort // address of the upstream that the agent on a machine reports
+	// reportedRuns holds the starts of the last runs that agents have reported, in Unix milliseconds, by the ID of the
+	// upstream, the newest one last.
+	reportedRuns map[string][]int64
+	releases     map[string][]release // by service, in ascending order of version
+	entries      int                  // that share the upstreams, this one included
+	reporting    map[string]bool      // engines whose agents report here, by ID; nil for all
+	lifted       []liftedLimit        // for TakeAsks
+	hasAsks      bool                 // TakeAsks may have requests
+	statements   map[run]*statement   // of all listed upstreams, and of others that have said something
+	pauses       map[run]*statement   // those that have a pause
 }
 
 // release is a version of a service's weights and when it replaces older ones.
@@ -59,15 +62,16 @@
 // New returns a balancer without upstreams.
 func New(c Config) *Balancer {
 	return &Balancer{
-		c:          c,
-		byID:       make(map[string]*upstream),
-		byService:  make(map[string][]*upstream),
-		byMachine:  make(map[netip.Addr][]*upstream),
-		reported:   make(map[netip.Addr]netip.AddrPort),
-		releases:   make(map[string][]release),
-		entries:    1,
-		statements: make(map[run]*statement),
-		pauses:     make(map[run]*statement),
+		c:            c,
+		byID:         make(map[string]*upstream),
+		byService:    make(map[string][]*upstream),
+		byMachine:    make(map[netip.Addr][]*upstream),
+		reported:     make(map[netip.Addr]netip.AddrPort),
+		reportedRuns: make(map[string][]int64),
+		releases:     make(map[string][]release),
+		entries:      1,
+		statements:   make(map[run]*statement),
+		pauses:       make(map[run]*statement),
 	}
 }
 
@@ -173,6 +177,7 @@
 	}
 	b.byID = byID
 	maps.DeleteFunc(b.reported, func(machine netip.Addr, _ netip.AddrPort) bool { return b.byMachine[machine] == nil })
+	maps.DeleteFunc(b.reportedRuns, func(id string, _ []int64) bool { return byID[id] == nil })
 	b.forgetStatements()
 }
 
@@ -191,6 +196,7 @@
 func (b *Balancer) report(now time.Time, u *upstream, load foxtailwharf.UpstreamLoad) {
 	isOtherRun := !load.Born.Equal(u.load.Born)
 	u.load = load
+	b.recordRun(u)
 	if isOtherRun {
 		b.updateStatement(u)
 	}
--- a/internal/request/balancer/rival.go
+++ b/internal/request/balancer/rival.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -95,23 +96,40 @@
 	return u.hasAgentSeen() && !u.load.IsDown && u.reportAge(now) <= loadLifetime && u.load.Born.UnixMilli() == born.UnixMilli()
 }
 
-// hasRestarted reports whether a recent report of the agent says that the upstream was restarted after a start.
-func (u *upstream) hasRestarted(now, born time.Time) bool {
-	return u.reportAge(now) <= loadLifetime && !u.load.Born.IsZero() && u.load.Born.After(born)
+// maxReportedRuns bounds the runs of an upstream that are kept.
+const maxReportedRuns = 4
+
+// recordRun records that the agent has reported a run of an upstream.
+func (b *Balancer) recordRun(u *upstream) {
+	runs := b.reportedRuns[u.ID]
+	born := u.load.Born.UnixMilli()
+	if u.load.Born.IsZero() || (len(runs) > 0 && runs[len(runs)-1] == born) {
+		return
+	}
+	runs = append(runs, born)
+	b.reportedRuns[u.ID] = runs[max(len(runs)-maxReportedRuns, 0):]
 }
 
-// HasEnded reports whether the run of an upstream that a call was sent to has ended: its agent says so, or its record
-// shows a younger run at the same address and the agent does not contradict it. It is false for upstreams that are not
-// listed. Other records at its address show nothing.
+// HasEnded reports whether the run of an upstream that a call was sent to has ended: its agent has reported that run, and
+// now reports a younger one. Records show nothing, and neither does a first report: the record by which the call was sent
+// may have come from another writer, or from an older copy of the store, and told a wrong start.
 func (b *Balancer) HasEnded(now time.Time, sentTo foxtailwharf.Upstream) bool {
+	u := b.byID[sentTo.ID]
+	if u == nil || u.reportAge(now) > loadLifetime || !isYounger(u.load.Born, sentTo.Born) {
+		return false
+	}
+	return slices.Contains(b.reportedRuns[u.ID], sentTo.Born.UnixMilli())
+}
+
+// MayHaveEnded reports whether the list or the agent of an upstream tell of a younger run than the one that a call was
+// sent to, and the agent does not contradict it. The call itself may be at that run, if a wrong start was known of it.
+func (b *Balancer) MayHaveEnded(now time.Time, sentTo foxtailwharf.Upstream) bool {
 	u := b.byID[sentTo.ID]
 	switch {
-	case u == nil:
+	case u == nil || u.isConfirmed(now, sentTo.Born):
 		return false
-	case u.hasRestarted(now, sentTo.Born):
+	case u.reportAge(now) <= loadLifetime && isYounger(u.load.Born, sentTo.Born):
 		return true
-	case u.isConfirmed(now, sentTo.Born):
-		return false
 	default:
 		return u.Address == sentTo.Address && u.Born.After(sentTo.Born)
 	}
--- a/internal/request/balancer/rival_test.go
+++ b/internal/request/balancer/rival_test.go
@@ -157,3 +157,45 @@
 		}
 	}
 }
+
+// TestHasEnded guards against calls that are ended on the word of a record, or of a first report, which may only correct a
+// wrong start, and against ones that stay with a run which the agent has seen replaced.
+func TestHasEnded(t *testing.T) {
+	const later = time.Second
+	tests := []struct {
+		name                string
+		reports             []time.Time // starts, the first one before the call is sent
+		listed              time.Time   // in the record, once the call is sent; zero for no change
+		ended, mayHaveEnded bool
+	}{
+		{"no agent, same record", nil, time.Time{}, false, false},
+		{"no agent, younger record", nil, start.Add(later), false, true},
+		{"no agent, older record", nil, start.Add(-later), false, false},
+		{"restart seen by the agent", []time.Time{start, start.Add(later)}, time.Time{}, true, true},
+		{"restart seen by the agent, younger record", []time.Time{start, start.Add(later)}, start.Add(later), true, true},
+		{"two restarts seen by the agent", []time.Time{start, start.Add(later), start.Add(2 * later)}, time.Time{}, true, true},
+		{"first report of another run", []time.Time{{}, start.Add(later)}, time.Time{}, false, true},
+		{"the agent contradicts a younger record", []time.Time{start, start}, start.Add(later), false, false},
+		{"the agent's clock goes back", []time.Time{start, start.Add(-later)}, time.Time{}, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sentTo := listed(1, "near", 1)
+			b := newBalancer(sentTo)
+			for _, born := range tt.reports {
+				b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: born})
+			}
+			if !tt.listed.IsZero() {
+				u := sentTo
+				u.Born = tt.listed
+				b.Set([]foxtailwharf.Upstream{u})
+				if n := len(tt.reports); n > 0 {
+					b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: tt.reports[n-1]})
+				}
+			}
+			if ended, mayHaveEnded := b.HasEnded(start, sentTo), b.MayHaveEnded(start, sentTo); ended != tt.ended || mayHaveEnded != tt.mayHaveEnded {
+				t.Errorf("it has ended: %t, it may have: %t; want %t and %t", ended, mayHaveEnded, tt.ended, tt.mayHaveEnded)
+			}
+		})
+	}
+}
--- a/internal/request/balancer/suspicion.go
+++ b/internal/request/balancer/suspicion.go
@@ -17,11 +17,11 @@
 	return u != nil && u.reportAge(now) <= loadLifetime && u.load.IsDown && !u.IsDraining && !u.isLeaving
 }
 
-// IsLost reports whether an upstream has ended, or does not answer its agent and is not silent as a sound one may
+// IsLost reports whether an upstream may have ended, or does not answer its agent and is not silent as a sound one may
 // be, or whether the list shows a younger run, or a younger upstream at its address. Together with a broken connection
 // this tells that it has crashed.
 func (b *Balancer) IsLost(now time.Time, sentTo foxtailwharf.Upstream) bool {
-	if b.HasEnded(now, sentTo) {
+	if b.MayHaveEnded(now, sentTo) {
 		return true
 	}
 	u := b.byID[sentTo.ID]
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -43,7 +43,7 @@
 }
 
 // checkUpstream cancels the attempt if the upstream has ended, or if the weights that it holds may no
-// longer begin an answer. If the upstream is silent and does not answer its agent, another one
+// longer begin an answer. If the upstream is silent and does not answer its agent, or may have ended, another one
 // is sought.
 func (a *attempt) checkUpstream() {
 	if a.isDone.Load() {
@@ -53,7 +53,7 @@
 		a.cancel(errUpstreamEnded)
 		return
 	}
-	if a.isSilent() && a.x.f.c.Assigner.IsSuspect(a.upstream) {
+	if a.isSilent() && (a.x.f.c.Assigner.IsSuspect(a.upstream) || a.x.f.c.Assigner.MayHaveEnded(a.upstream)) {
 		a.x.startBackup(a.parent, a)
 	}
 	next := upstreamCheckInterval
