Stand-ins: entries may log, silence holds refusals, a restore forgets the compaction

The fleet of the simulator takes a log for its entries and names the address of their readiness check. A silent engine sends no refusals either, as its comment says. A restore of the fake store to a revision below its last compaction made each watch fail with 410 at once until the revision had caught up; the entries asked again at the same fake moment, without end (memory of a test grew to 0.7 GB in 9 s). A store that comes back from a copy has the history of the copy.

--- a/standin/fleetstore.go
+++ b/standin/fleetstore.go
@@ -141,6 +141,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
+	s.compactedRevision = min(s.compactedRevision, c.revision)
 	s.revision, s.configuration, s.changedAt = c.revision, c.configuration, maps.Clone(c.changedAt)
 	s.upstreams, s.removed, s.releases = maps.Clone(c.upstreams), maps.Clone(c.removed), maps.Clone(c.releases)
 	close(s.changed)
--- a/standin/silence.go
+++ b/standin/silence.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 )
 
-// FallSilent makes the engine send nothing for a time: no events and no state. It goes on afterwards.
+// FallSilent makes the engine send nothing for a time: no events, no refusals and no state. It goes on afterwards.
 func (e *SlotEngine) FallSilent(d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/simulator/entry.go
+++ b/standin/simulator/entry.go
@@ -30,7 +30,7 @@
 	e.host = e.f.network.Host(e.f.failureDomain(e.index), e.f.failureDomain(e.index), e.f.c.Links.Entry)
 	e.process = distributor.New(distributor.Config{
 		Settings: e.settings(), Store: &linkedStore{FleetStore: e.f.Store.View(e.Name), f: e.f, host: e.host}, Dialect: standin.Dialect{}, Network: e.host, PacketListener: e.host,
-		Clock: e.f.clock, Log: zap.NewNop(), Seed: uint64(e.index) + 1,
+		Clock: e.f.clock, Log: e.f.c.EntryLog.With(zap.String("Entry", e.Name)), Seed: uint64(e.index) + 1,
 	})
 	ctx, e.cancel = context.WithCancel(ctx)
 	return errors.Wrap(e.process.Start(ctx), "Entry.Start")
@@ -86,6 +86,11 @@
 	return e.process.Warnings()
 }
 
+// Ready returns the address of the readiness check.
+func (e *Entry) Ready() netip.AddrPort {
+	return e.settings().Ready
+}
+
 // Callers returns the address that callers connect to.
 func (e *Entry) Callers() netip.AddrPort {
 	return e.settings().Callers
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -54,8 +54,9 @@
 	// CrashingCalls are calls, and CrashingParts parts of prompts, that crash the engines.
 	CrashingCalls []string
 	CrashingParts []string
-	// AgentLog is the log of all agents; nil for none.
+	// AgentLog is the log of all agents, and EntryLog that of all entries; nil for none.
 	AgentLog *zap.Logger
+	EntryLog *zap.Logger
 }
 
 // Links are rates of the network, in bytes per second in each direction, and of the platform's store, in calls
@@ -89,6 +90,9 @@
 	if c.AgentLog == nil {
 		c.AgentLog = zap.NewNop()
 	}
+	if c.EntryLog == nil {
+		c.EntryLog = zap.NewNop()
+	}
 	if c.Links == nil {
 		c.Links = &Links{}
 	}
--- a/standin/slotengine.go
+++ b/standin/slotengine.go
@@ -183,6 +183,9 @@
 	}
 	call, refusal := e.admit(r)
 	if refusal != 0 {
+		if e.awaitSpeech(r.Context()) != nil {
+			return
+		}
 		w.Header().Set(HeaderNotRun, "1")
 		e.writeSignals(w.Header())
 		w.WriteHeader(refusal)
