--- a/standin/simulator/engine.go
+++ b/standin/simulator/engine.go
@@ -64,6 +64,13 @@
 	e.f.Store.PutUpstream(e.listedUpstream())
 }
 
+// PutUpstreamBorn writes a record to the platform's list that tells another start of the engine.
+func (e *Engine) PutUpstreamBorn(born time.Time) {
+	u := e.listedUpstream()
+	u.Born = born
+	e.f.Store.PutUpstream(u)
+}
+
 // Drain marks the engine as draining in the platform's list.
 func (e *Engine) Drain() {
 	u := e.listedUpstream()
