Log how the last read of a caller's connection has ended

net/http reads in the background while a call is served, and cancels its context after any error of that read.

The bench of the forwarder serves its callers with limits, as entries do.

TestUnansweredCalls checks that CallerLeft comes with the caller's EOF while the call is served, and no other cause does.

--- a/internal/connection/callerlimiter/conn.go
+++ b/internal/connection/callerlimiter/conn.go
@@ -49,6 +49,7 @@
 	pending   []byte    // received and not returned yet
 	requested time.Time // read deadline that net/http has set
 	applied   time.Time // read deadline of the inner connection
+	readEnd   ReadEnd   // of the phase
 
 	isRefused  atomic.Bool // the head is answered; nothing more is read or written
 	isArriving atomic.Bool // a part of a head was read, and neither has the handler the request nor was a byte written since
@@ -66,12 +67,14 @@
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.recordError(err)
+			c.endRead(err)
 			return 0, err
 		}
 		isOver, expired := c.checkDeadline()
 		if !isOver {
 			continue
 		}
+		c.endRead(err)
 		switch expired {
 		case PhaseIdle:
 			if c.limiter.drainedAt.Load() != nil {
@@ -174,7 +177,7 @@
 
 // enter starts a phase. The lock must be held.
 func (c *conn) enter(p Phase) {
-	c.phase, c.since, c.final = p, time.Now(), time.Time{}
+	c.phase, c.since, c.final, c.readEnd = p, time.Now(), time.Time{}, ReadEnd{}
 	c.apply()
 }
 
@@ -312,5 +315,7 @@
 
 func (c *conn) recordClosed(label string) {
 	c.limiter.c.Meter.Increment(meter.CounterCallersClosed + label)
-	c.limiter.c.Log.Info("callers: connection closed without an answer", zap.String("Request", label), zap.Stringer("Caller", c.RemoteAddr()))
+	ended := Connection{c: c}.LastReadEnd()
+	c.limiter.c.Log.Info("callers: connection closed without an answer", zap.String("Request", label), zap.Stringer("Caller", c.RemoteAddr()),
+		zap.NamedError("ReadError", ended.Err), zap.Stringer("ReadPhase", ended.Phase))
 }
--- a/internal/connection/callerlimiter/limits.go
+++ b/internal/connection/callerlimiter/limits.go
@@ -45,6 +45,18 @@
 	PhaseServing // from the end of a head until its answer is written
 )
 
+// String returns the name of the phase.
+func (p Phase) String() string {
+	switch p {
+	case PhaseIdle:
+		return "Idle"
+	case PhaseHead:
+		return "Head"
+	default:
+		return "Serving"
+	}
+}
+
 // Deadline returns when a phase that began at a time ends. It is zero for a phase without limit.
 func (l Limits) Deadline(p Phase, since time.Time) time.Time {
 	switch p {
--- a/internal/request/forwarder/bench_test.go
+++ b/internal/request/forwarder/bench_test.go
@@ -19,8 +19,10 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/callerlimiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/requester"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/server"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/assigner"
@@ -47,6 +49,8 @@
 	started   time.Time
 	clock     time.Duration // how far the clock is ahead, as if the machine had been suspended
 	servers   []*standin.Server
+	entry     *server.Server // of the forwarder
+	limiter   *callerlimiter.Limiter
 	calls     atomic.Int64
 	warned    atomic.Int64
 
@@ -87,6 +91,7 @@
 // close closes the caller's connections and all servers.
 func (b *bench) close() {
 	b.client.CloseIdleConnections()
+	b.entry.Close()
 	for _, s := range b.servers {
 		s.Close()
 	}
@@ -133,10 +138,21 @@
 		Services: map[string]foxtailwharf.CallService{"s": {Name: "s"}},
 		Keys:     map[string]foxtailwharf.CallAccount{"k1": {Name: "a1"}},
 	}}
-	b.serve(address(1), b.forwarder)
+	b.serveCallers()
 	return b
 }
 
+// serveCallers serves the forwarder with limits for callers.
+func (b *bench) serveCallers() {
+	listener, err := b.network.Listen(b.t.Context(), address(1))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.limiter = callerlimiter.New(callerlimiter.Config{Meter: b.meter, Log: zap.NewNop()})
+	h := dialer.Server(b.forwarder)
+	b.entry = server.Start(server.Config{Listener: b.limiter.Limit(h, listener), HTTP: h, Drain: b.limiter.Drain, Log: zap.NewNop()})
+}
+
 func route(prefix string, kind foxtailwharf.CallKind, change func(r *foxtailwharf.CallRoute)) foxtailwharf.CallRoute {
 	r := foxtailwharf.CallRoute{
 		Name: prefix, Host: "h", Prefix: prefix, Kind: kind, Timeout: 6 * time.Second, Goal: 400 * time.Millisecond,
--- a/internal/request/forwarder/ending.go
+++ b/internal/request/forwarder/ending.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/callerlimiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/finisher"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/explainer"
@@ -107,6 +108,9 @@
 
 // recordRefused logs and counts a refusal.
 func (x *exchange) recordRefused(refusal *foxtailwharf.Refusal, fields ...zap.Field) {
+	if x.hasBodyFailed {
+		fields = append(fields, readFields(x.connection.LastReadEnd())...)
+	}
 	x.log("refused", append(refusalFields(refusal), fields...)...)
 	x.f.c.Meter.Increment(meter.CounterRefused + string(refusal.Reason))
 }
@@ -143,9 +147,23 @@
 	x.hasEnded = true
 	x.f.c.Meter.Increment(meter.CounterUnanswered + string(cause))
 	fields = append(fields, x.causeFields(cause)...)
+	fields = append(fields, readFields(x.connection.LastReadEnd())...)
 	x.log(message, append(fields, zap.Bool("Leaving", x.f.leaving.Load()), zap.Duration("SinceChange", x.f.sinceChange()))...)
 }
 
+// readFields returns the log fields that tell a caller that has left from a read of its connection that has failed
+// otherwise, as at a deadline. Both cancel the call.
+func readFields(e callerlimiter.ReadEnd) []zap.Field {
+	if e.Err == nil {
+		return nil
+	}
+	fields := []zap.Field{zap.NamedError("ReadError", e.Err), zap.Stringer("ReadPhase", e.Phase), zap.Duration("SinceRead", time.Since(e.At))}
+	if !e.Deadline.IsZero() {
+		fields = append(fields, zap.Duration("ReadTimeLeft", e.Deadline.Sub(e.At)))
+	}
+	return fields
+}
+
 // checkEnd records a call that the handler leaves without an answer, a refusal or the record of their lack, as after a
 // panic.
 func (x *exchange) checkEnd() {
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/callerlimiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/discarder"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
@@ -27,21 +28,22 @@
 
 // exchange is the state of one call from its admission to its answer.
 type exchange struct {
-	f        *Forwarder
-	w        http.ResponseWriter
-	started  time.Time
-	leavesAt time.Time // when the caller gives up
-	deadline time.Time // the same, or the end of the shutdown if that is earlier
-	call     foxtailwharf.Call
-	route    *foxtailwharf.CallRoute
-	service  foxtailwharf.CallService
-	version  int64 // of the configuration that was in force at admission
-	limits   foxtailwharf.CallLimits
-	account  string
-	rank     queuer.Rank
-	request  string   // identifies identical requests
-	suspects []string // the request and the parts of its prompt
-	isTrial  bool     // runs in spite of a ban
+	f          *Forwarder
+	w          http.ResponseWriter
+	connection callerlimiter.Connection // on which the call came
+	started    time.Time
+	leavesAt   time.Time // when the caller gives up
+	deadline   time.Time // the same, or the end of the shutdown if that is earlier
+	call       foxtailwharf.Call
+	route      *foxtailwharf.CallRoute
+	service    foxtailwharf.CallService
+	version    int64 // of the configuration that was in force at admission
+	limits     foxtailwharf.CallLimits
+	account    string
+	rank       queuer.Rank
+	request    string   // identifies identical requests
+	suspects   []string // the request and the parts of its prompt
+	isTrial    bool     // runs in spite of a ban
 	// isBodyBegun is set once the body is being read, and hasBodyFailed if that fails.
 	isBodyBegun, hasBodyFailed bool
 	cancel                     context.CancelCauseFunc
--- a/internal/request/forwarder/forwarder.go
+++ b/internal/request/forwarder/forwarder.go
@@ -235,7 +235,7 @@
 // ServeHTTP answers one call.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	x := &exchange{f: f, w: w, started: started, excluded: make(map[string]bool)}
+	x := &exchange{f: f, w: w, connection: callerlimiter.ConnectionOf(r.Context()), started: started, excluded: make(map[string]bool)}
 	defer x.progress.release()
 	x.boundWrite()
 	if refusal := f.admit(x, w, r); refusal != nil {
--- a/internal/request/forwarder/unanswered_test.go
+++ b/internal/request/forwarder/unanswered_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
 
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/callerlimiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/explainer"
 	"github.com/foxtailwharf/foxtailwharf/standin"
@@ -139,6 +141,10 @@
 	if have := b.meter.Counter(meter.CounterRefused+"OutcomeUnknown") + b.meter.Counter(meter.CounterRefused+"Deadline"); have != refused {
 		b.t.Errorf("counted %d refusals, want %d", have, refused)
 	}
+	hasRead := fields["ReadError"] == io.EOF.Error() && fields["ReadPhase"] == callerlimiter.PhaseServing.String()
+	if hasRead != (cause == explainer.CauseCallerLeft) {
+		b.t.Errorf("have %v as the end of the last read in phase %v, with the cause %s", fields["ReadError"], fields["ReadPhase"], cause)
+	}
 	if since, hasSince := fields["SinceChange"].(time.Duration); line != lineRefused && (!hasSince || since < time.Second) {
 		b.t.Errorf("have %v since the change of the configuration, want a second or more", fields["SinceChange"])
 	}
