Give each of the limits that were replaced a grace period of its own

Cause: Limits kept one set of limits before the current one. Each change merged what applied then into it and began its grace period anew, so that changes less than a second apart prolonged the largest limits for as long as they went on.

Change: each of the limits that were replaced is kept with the time of its own replacement, and stops a second later however often others change. Changed drops those whose time is over; at most 64 are kept.

A later version gives callers no reason to use the one before the last for longer.

--- a/internal/connection/callerlimiter/drain.go
+++ b/internal/connection/callerlimiter/drain.go
@@ -54,10 +54,3 @@
 		return latest(*drainedAt, c.accepted.Add(firstRequestWait))
 	}
 }
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/connection/callerlimiter/limits.go
+++ b/internal/connection/callerlimiter/limits.go
@@ -6,33 +6,55 @@
 	"github.com/foxtailwharf/foxtailwharf"
 )
 
-// changeGrace is how long the limits before a change still apply where they allow more, because
-// callers may not know the new ones yet.
-const changeGrace = time.Second
+const (
+	// changeGrace is how long limits that were replaced still apply where they allow more, because
+	// callers may not know the new ones yet.
+	changeGrace = time.Second
+	// maxReplaced bounds the limits that are kept after they were replaced. The oldest one goes first.
+	maxReplaced = 64
+)
 
-// Limits are the limits in force and, for a while, those before the last change.
+// Limits are the limits in force and, for a while, those before them.
 type Limits struct {
 	Current  foxtailwharf.CallLimits
-	Previous foxtailwharf.CallLimits // apply until GraceEnd where they allow more
-	GraceEnd time.Time
+	replaced []replacedLimits // the oldest one first; not changed once it is set
 }
 
-// Changed returns the limits after a change at a time.
+// replacedLimits are limits that are not in force any more.
+type replacedLimits struct {
+	foxtailwharf.CallLimits
+	at time.Time // when they were replaced
+}
+
+// Changed returns the limits after a change at a time. Each of the limits before has a grace period of its own.
 func (l Limits) Changed(next foxtailwharf.CallLimits, now time.Time) Limits {
-	return Limits{Current: next, Previous: l.At(now), GraceEnd: now.Add(changeGrace)}
+	replaced := make([]replacedLimits, 0, len(l.replaced)+1)
+	for _, r := range l.replaced {
+		if now.Before(r.graceEnd()) {
+			replaced = append(replaced, r)
+		}
+	}
+	replaced = append(replaced, replacedLimits{CallLimits: l.Current, at: now})
+	return Limits{Current: next, replaced: replaced[max(len(replaced)-maxReplaced, 0):]}
+}
+
+// graceEnd returns when the limits do not apply any more.
+func (r replacedLimits) graceEnd() time.Time {
+	return r.at.Add(changeGrace)
 }
 
 // At returns what callers may do at a time.
 func (l Limits) At(now time.Time) foxtailwharf.CallLimits {
-	if !now.Before(l.GraceEnd) {
-		return l.Current
-	}
-	return foxtailwharf.CallLimits{
-		HeaderBytes:   max(l.Current.HeaderBytes, l.Previous.HeaderBytes),
-		BodyBytes:     max(l.Current.BodyBytes, l.Previous.BodyBytes),
-		HeaderTimeout: max(l.Current.HeaderTimeout, l.Previous.HeaderTimeout),
-		IdleTimeout:   max(l.Current.IdleTimeout, l.Previous.IdleTimeout),
+	limits := l.Current
+	for _, r := range l.replaced {
+		if now.Before(r.graceEnd()) {
+			limits.HeaderBytes = max(limits.HeaderBytes, r.HeaderBytes)
+			limits.BodyBytes = max(limits.BodyBytes, r.BodyBytes)
+			limits.HeaderTimeout = max(limits.HeaderTimeout, r.HeaderTimeout)
+			limits.IdleTimeout = max(limits.IdleTimeout, r.IdleTimeout)
+		}
 	}
+	return limits
 }
 
 // Phase is what a connection is doing.
@@ -59,25 +81,34 @@
 
 // Deadline returns when a phase that began at a time ends. It is zero for a phase without limit.
 func (l Limits) Deadline(p Phase, since time.Time) time.Time {
-	switch p {
-	case PhaseIdle:
-		return l.after(since, l.Current.IdleTimeout, l.Previous.IdleTimeout)
-	case PhaseHead:
-		return l.after(since, l.Current.HeaderTimeout, l.Previous.HeaderTimeout)
-	default:
+	if p == PhaseServing {
 		return time.Time{}
 	}
+	deadline := since.Add(timeout(l.Current, p))
+	for _, r := range l.replaced {
+		deadline = latest(deadline, earliest(since.Add(timeout(r.CallLimits, p)), r.graceEnd()))
+	}
+	return deadline
 }
 
-// after adds the current limit to a time, or what is left of the previous limit within the grace
-// period if that is later.
-func (l Limits) after(since time.Time, current, previous time.Duration) time.Time {
-	lenient := since.Add(previous)
-	if lenient.After(l.GraceEnd) {
-		lenient = l.GraceEnd
+// timeout returns how long a phase may take.
+func timeout(l foxtailwharf.CallLimits, p Phase) time.Duration {
+	if p == PhaseHead {
+		return l.HeaderTimeout
 	}
-	if deadline := since.Add(current); deadline.After(lenient) {
-		return deadline
+	return l.IdleTimeout
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return lenient
+	return b
 }
