Keep idle connections open as long as callers may know a longer limit

Callers saw: a connection that they reused after four fifths of the idle time that they knew was closed, or was being closed as the request came, when the limit had shrunk more than a second before. Such a request crosses the close: nobody has read it, and its caller opens another connection.

Cause: limits that were replaced applied for one more second after the entry knew the new ones, but callers may learn them up to two seconds after they are acknowledged, and an entry may learn them at once.

It is a cost, not the reported loss: no request that was read is dropped by it.

Change: for idle connections the grace period is two seconds. Heads and bodies keep one second: a request that an older version alone allows must not be served two seconds after the acknowledgement, and a connection that is merely open is no request.

TestDeadline wants the new end of an idle connection (102 s instead of 101 s after a change at 100 s), and has one more case; "idle, its end is in the grace period" and those of heads are as before.

--- a/internal/connection/callerlimiter/callerlimiter_test.go
+++ b/internal/connection/callerlimiter/callerlimiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"runtime"
@@ -297,6 +298,32 @@
 	}
 }
 
+// TestReuseBesideChange guards against connections that are closed as idle, or as a request comes, while callers may still
+// know a longer limit.
+func TestReuseBesideChange(t *testing.T) {
+	const bound = 2 * time.Second // within which callers learn the limits
+	for _, sinceChange := range []time.Duration{0, 500 * time.Millisecond, 1100 * time.Millisecond, 1900 * time.Millisecond} {
+		for _, others := range []int{0, 1, 5} {
+			t.Run(fmt.Sprintf("%s after the first of %d changes", sinceChange, others+1), func(t *testing.T) {
+				runFake(t, func(b *bench) {
+					b.set(foxtailwharf.CallLimits{IdleTimeout: 10 * time.Second})
+					time.Sleep(bound)
+					c := b.connect()
+					c.send(get("/1", 0))
+					c.check(http.StatusOK, "/1")
+					time.Sleep(8*time.Second - sinceChange)
+					for i := range others + 1 {
+						b.limiter.Set(foxtailwharf.CallLimits{IdleTimeout: time.Duration(i+1) * time.Second, HeaderBytes: 1000})
+					}
+					time.Sleep(sinceChange)
+					c.send(get("/2", 0))
+					c.check(http.StatusOK, "/2")
+				})
+			})
+		}
+	}
+}
+
 // TestCallerDisconnects guards against requests of callers who are gone that go on.
 func TestCallerDisconnects(t *testing.T) {
 	b := newTCPBench(t)
--- a/internal/connection/callerlimiter/limits.go
+++ b/internal/connection/callerlimiter/limits.go
@@ -7,9 +7,12 @@
 )
 
 const (
-	// changeGrace is how long limits that were replaced still apply where they allow more, because
+	// changeGrace is how long limits for requests that were replaced still apply where they allow more, because
 	// callers may not know the new ones yet.
 	changeGrace = time.Second
+	// idleGrace is the same for idle connections. It is as long as callers may take to learn the new limits, so that none of
+	// them sends a request on a connection that is being closed.
+	idleGrace = 2 * time.Second
 	// maxReplaced bounds the limits that are kept after they were replaced. The oldest one goes first.
 	maxReplaced = 64
 )
@@ -30,7 +33,7 @@
 func (l Limits) Changed(next foxtailwharf.CallLimits, now time.Time) Limits {
 	replaced := make([]replacedLimits, 0, len(l.replaced)+1)
 	for _, r := range l.replaced {
-		if now.Before(r.graceEnd()) {
+		if now.Before(r.graceEnd(PhaseIdle)) {
 			replaced = append(replaced, r)
 		}
 	}
@@ -38,8 +41,11 @@
 	return Limits{Current: next, replaced: replaced[max(len(replaced)-maxReplaced, 0):]}
 }
 
-// graceEnd returns when the limits do not apply any more.
-func (r replacedLimits) graceEnd() time.Time {
+// graceEnd returns when the limits do not apply to a phase any more.
+func (r replacedLimits) graceEnd(p Phase) time.Time {
+	if p == PhaseIdle {
+		return r.at.Add(idleGrace)
+	}
 	return r.at.Add(changeGrace)
 }
 
@@ -47,11 +53,13 @@
 func (l Limits) At(now time.Time) foxtailwharf.CallLimits {
 	limits := l.Current
 	for _, r := range l.replaced {
-		if now.Before(r.graceEnd()) {
+		if now.Before(r.graceEnd(PhaseIdle)) {
+			limits.IdleTimeout = max(limits.IdleTimeout, r.IdleTimeout)
+		}
+		if now.Before(r.graceEnd(PhaseHead)) {
 			limits.HeaderBytes = max(limits.HeaderBytes, r.HeaderBytes)
 			limits.BodyBytes = max(limits.BodyBytes, r.BodyBytes)
 			limits.HeaderTimeout = max(limits.HeaderTimeout, r.HeaderTimeout)
-			limits.IdleTimeout = max(limits.IdleTimeout, r.IdleTimeout)
 		}
 	}
 	return limits
@@ -86,7 +94,7 @@
 	}
 	deadline := since.Add(timeout(l.Current, p))
 	for _, r := range l.replaced {
-		deadline = latest(deadline, earliest(since.Add(timeout(r.CallLimits, p)), r.graceEnd()))
+		deadline = latest(deadline, earliest(since.Add(timeout(r.CallLimits, p)), r.graceEnd(p)))
 	}
 	return deadline
 }
--- a/internal/connection/callerlimiter/limits_test.go
+++ b/internal/connection/callerlimiter/limits_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestDeadline checks when phases end that began before and after a change, which is at second 100 and
-// has a grace period of a second.
+// has a grace period of a second for heads, and of two for idle connections.
 func TestDeadline(t *testing.T) {
 	second := func(s float64) time.Time {
 		return time.Unix(0, 0).Add(time.Duration(s * float64(time.Second)))
@@ -23,8 +23,9 @@
 		since         float64
 		want          time.Time
 	}{
-		{"idle, began long before, shrinking", long, short, callerlimiter.PhaseIdle, 60, second(101)},
+		{"idle, began long before, shrinking", long, short, callerlimiter.PhaseIdle, 60, second(102)},
 		{"idle, its end is in the grace period", long, short, callerlimiter.PhaseIdle, 50.5, second(100.5)},
+		{"idle, its end is late in the grace period", long, short, callerlimiter.PhaseIdle, 51.5, second(101.5)},
 		{"idle, began just before, shrinking", long, short, callerlimiter.PhaseIdle, 99, second(104)},
 		{"idle, began after, shrinking", long, short, callerlimiter.PhaseIdle, 100.5, second(105.5)},
 		{"idle, began before, growing", short, long, callerlimiter.PhaseIdle, 96, second(146)},
