Refuse a chunked body that is late as late, also in its last line

Callers saw: 400 for a request whose chunked body had not arrived whole at the deadline, where any other late body gets 503. 400 says that the request is malformed, and it is not sent again. In a shutdown the deadline may be the end of the entry's time, so that a caller may have time left for another entry.

Cause: net/http returns "unexpected EOF reading trailer" for any error while it waits for the last two bytes of a chunked body, a timeout too.

Change: a body that is incomplete once the deadline has passed is late, whatever the error. It is no loss: the request was not whole and was answered.

--- a/internal/request/forwarder/admit.go
+++ b/internal/request/forwarder/admit.go
@@ -130,7 +130,8 @@
 			return foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "the entry holds too many large request bodies")
 		}
 		x.hasBodyFailed = true
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		// net/http hides a timeout in the last line of a chunked body.
+		if errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(x.deadline) {
 			return foxtailwharf.NotRun(foxtailwharf.ReasonDeadline, "the request body did not arrive in time")
 		}
 		return foxtailwharf.NotRun(foxtailwharf.ReasonBadRequest, "the request body is incomplete")
