A stream that begins at the moment at which it is given up is not cut

What callers saw: beside a named version, a stream ended after its first events with seconds left; its engine was sound and went on.

Cause: the end of calls on replaced weights (attempt.checkUpstream) and of silent ones (handleSilence, backup.send) asked whether the answer had begun, and cancelled the attempt afterwards. Between the two, and until the cancelled connection noticed, the first events came and went to the caller. What was given up as not begun had begun, and could only be broken off.

Data that comes later than the decision isn't forwarded, so that the call can still be sent elsewhere or refused; a decision that comes later than data does nothing. The answer of another upstream counts as begun once it has come, not only once it is forwarded. Data also keeps a timer of silence that has just fired from acting.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -47,8 +47,9 @@
 	stallTimer *time.Timer
 	checkTimer *time.Timer
 	isDone     atomic.Bool
-	isSuspect  atomic.Bool  // has been silent for so long that another upstream is sought
-	hasEvent   atomic.Bool  // an event was received
+	isSuspect  atomic.Bool // has been silent for so long that another upstream is sought
+	hasEvent   atomic.Bool // an event was received
+	beginning  beginning
 	heardAt    atomic.Int64 // when the call was sent or the last event with data received, in nanoseconds since the arrival of the call
 }
 
--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -122,7 +122,7 @@
 	b.excluded[a.upstream.ID] = true
 	a.start(ctx)
 	// The other upstream may be silent as well, and the call may be allowed a third one.
-	giveUp := time.AfterFunc(a.firstEventLimit()+patience, func() { a.cancel(errSilent) })
+	giveUp := time.AfterFunc(a.firstEventLimit()+patience, func() { a.giveUp(errSilent) })
 	defer giveUp.Stop()
 	o, result, isBegun := a.send()
 	if isBegun {
@@ -160,6 +160,9 @@
 	case isRepeated(event.ID, a.resumedAfter()):
 		a.logRepeated(event.ID)
 		return unknown, balancer.Failed, false
+	case !a.hear():
+		o, result = a.handleBroken(a.ctx, awaitGivenUp(a.ctx))
+		return o, result, false
 	default:
 		return o, result, true
 	}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -112,6 +112,9 @@
 			a.logRepeated(event.ID)
 			return unknown, balancer.Failed
 		}
+		if event.HasData && !a.hear() {
+			return a.handleBroken(ctx, awaitGivenUp(ctx))
+		}
 		if !x.progress.advanceStream(event, isEventStream(header)) {
 			return unknown, balancer.Stalled
 		}
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -33,12 +33,15 @@
 // attempt of a call that may be repeated.
 func (a *attempt) handleSilence(ctx context.Context) {
 	switch {
-	case a.isDone.Load():
+	case a.isDone.Load() || !a.isSilent():
 	case !a.isSuspect.Swap(true) && a.silenceLeft() > 0:
 		a.x.startBackup(ctx, a)
 		a.stallTimer.Reset(a.furtherSilence())
-	case a.x.route.IsRepeatable():
+	case !a.x.route.IsRepeatable():
+	case a.beginning.isMade():
 		a.cancel(errSilent)
+	default:
+		a.giveUp(errSilent)
 	}
 }
 
@@ -60,7 +63,7 @@
 	if startDeadline := a.startDeadline(); !startDeadline.IsZero() {
 		left := time.Until(startDeadline)
 		if left <= 0 {
-			a.cancel(errWeightsReplaced)
+			a.giveUp(errWeightsReplaced)
 			return
 		}
 		next = min(next, left)
