A ban for crashes within a second is tried early

Cause: such a request is in flight on all upstreams, so that its crashes isolate it, and no upstream is left where it could complete and prove itself sound. Nothing tells it from copies of a crashing request. A ban of a request had no trials, one of a part none for ten minutes. Class: a verdict that nothing can prove wrong.

Change: if all crashes under a ban came within a second, they may have had one other cause. The entry that tries lets one call run ten seconds after the newest crash, at one upstream, without a retry or a second upstream of any kind, also where the upstream refuses it. A whole answer (of a part: a begun one) ends the ban everywhere. The trial is counted when it is sent and told to all entries at the next interval (new optional field EarlyTrials of bans; entries take the lower count). If the upstream crashes there is no other early trial; if it shows nothing, there is one more ten seconds later. So a request that crashes upstreams reaches them once later than three seconds after the third, twice if the entry that tries ends before it has told; the users' rule allows three. Bans for crashes over a longer time have no early trials, as before.

--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -62,6 +62,9 @@
 	f.mu.Lock()
 	now := f.evidenceTime()
 	crashes := f.isolator.RecordBreak(now, f.earliest(), incarnation(upstream), x.suspects, hasBegun)
+	if x.isTrial {
+		f.isolator.RecordTrialCrash(now, x.suspects)
+	}
 	held := f.isolator.Held(now, x.request)
 	f.mu.Unlock()
 	x.log("upstream ended with the request in flight", zap.String("Upstream", upstream.ID), zap.String("Request", x.request),
@@ -101,6 +104,13 @@
 	return max(remaining, f.isolator.Held(now, x.request))
 }
 
+// recordTrial records that a trial is sent to an upstream.
+func (f *Forwarder) recordTrial(x *exchange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isolator.RecordTrial(f.evidenceTime(), x.suspects)
+}
+
 // mayCrash reports whether another attempt of a request is likely to crash another upstream.
 func (f *Forwarder) mayCrash(x *exchange) bool {
 	if f.quarantinedFor(x) > 0 {
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -188,6 +188,9 @@
 		x.finish(ctx, foxtailwharf.NotRun(foxtailwharf.ReasonQueueFull, "too little time is left for the call"))
 		return nil
 	}
+	if x.isTrial {
+		x.f.recordTrial(x)
+	}
 	x.queueTime = time.Since(x.started)
 	return a
 }
@@ -234,7 +237,7 @@
 // mayTryAgain reports whether a call that no attempt has delivered may be sent once more.
 func (x *exchange) mayTryAgain(ctx context.Context) bool {
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || x.isTrial:
 		return false
 	case x.progress.hasUnknown() && !x.mayRetryAfterRun():
 		return false
--- a/internal/request/isolator/ban.go
+++ b/internal/request/isolator/ban.go
@@ -9,6 +9,11 @@
 const (
 	// maxTrialPause is the longest pause between two trials of a ban.
 	maxTrialPause = 4 * time.Hour
+	// maxEarlyTrials is the number of early trials of a ban. A second one runs only if the first one shows nothing.
+	maxEarlyTrials = 2
+	// earlyTrialPause is the time from the newest crash to the first early trial, and between two: engines that have
+	// crashed are back.
+	earlyTrialPause = 10 * time.Second
 	// renewalFraction is the fraction of a ban's length that must be over before a call under it renews it. The
 	// other entries are told of each renewal.
 	renewalFraction = 0.25
@@ -24,6 +29,9 @@
 	// and trialPause the time until the trial after it.
 	trialAt    time.Time
 	trialPause time.Duration
+	// earlyTrials is how many trials may still run soon, since the crashes may have had one other cause. A request has no
+	// other trials: one that crashes engines may reach few of them.
+	earlyTrials int
 }
 
 // key identifies a ban by its parts.
@@ -47,9 +55,13 @@
 
 // renew makes the ban count from a crash.
 func (b *ban) renew(at time.Time, length time.Duration) {
-	if at.After(b.crashedAt) {
-		b.crashedAt = at
-		b.prolong(at.Add(length))
+	if !at.After(b.crashedAt) {
+		return
+	}
+	b.crashedAt = at
+	b.prolong(at.Add(length))
+	if next := at.Add(earlyTrialPause); b.earlyTrials > 0 && next.After(b.trialAt) {
+		b.trialAt = next
 	}
 }
 
@@ -67,15 +79,35 @@
 	return slices.ContainsFunc(b.parts, IsRequest)
 }
 
-// recordTrial records that a call runs in spite of the ban. The pauses between trials grow.
+// mayTry reports whether a call may run as a trial.
+func (b *ban) mayTry(now time.Time) bool {
+	return !now.Before(b.trialAt) && (b.earlyTrials > 0 || !b.hasRequest())
+}
+
+// recordTrial records that a call runs in spite of the ban. The pauses between trials grow, but for early ones.
 func (b *ban) recordTrial(now time.Time) {
+	if b.earlyTrials > 0 {
+		b.trialAt = now.Add(earlyTrialPause)
+		return
+	}
 	b.trialPause = min(2*b.trialPause, maxTrialPause)
 	b.trialAt = now.Add(b.trialPause)
 }
 
+// setEarlyTrials sets the number of early trials that are left, if that is less than before because one has just run.
+func (b *ban) setEarlyTrials(now time.Time, count int, length time.Duration) {
+	if count >= b.earlyTrials {
+		return
+	}
+	b.earlyTrials, b.trialAt = count, now.Add(earlyTrialPause)
+	if count == 0 {
+		b.trialAt = b.crashedAt.Add(length)
+	}
+}
+
 // report returns the ban as it is sent to other entries.
 func (b *ban) report(now time.Time) Ban {
-	return Ban{Parts: b.parts, Age: now.Sub(b.crashedAt), Remaining: b.until.Sub(now)}
+	return Ban{Parts: b.parts, Age: now.Sub(b.crashedAt), Remaining: b.until.Sub(now), EarlyTrials: b.earlyTrials}
 }
 
 // covering returns a ban that covers a call with these parts; nil if there is none.
@@ -107,7 +139,7 @@
 		if !b.covers(parts) || !b.until.After(now) {
 			continue
 		}
-		isTrial = isTrial && !now.Before(b.trialAt) && !b.hasRequest()
+		isTrial = isTrial && b.mayTry(now)
 		if until := now.Add(i.c.BanTime); until.Sub(b.until).Seconds() > renewalFraction*i.c.BanTime.Seconds() {
 			before := b.until
 			b.prolong(until)
@@ -125,15 +157,39 @@
 	return remaining, true
 }
 
+// RecordTrial records that a call with these parts, which runs as a trial, is sent to an engine. The other entries are
+// told, so that none of them repeats it.
+func (i *Isolator) RecordTrial(now time.Time, parts []string) {
+	for key, b := range i.bans {
+		if b.earlyTrials > 0 && b.covers(parts) {
+			b.setEarlyTrials(now, b.earlyTrials-1, i.c.BanTime)
+			i.unsent.bans[key] = true
+		}
+	}
+}
+
+// RecordTrialCrash records that an engine crashed under a trial: there are no further early ones.
+func (i *Isolator) RecordTrialCrash(now time.Time, parts []string) {
+	for key, b := range i.bans {
+		if b.earlyTrials > 0 && b.covers(parts) {
+			b.setEarlyTrials(now, 0, i.c.BanTime)
+			i.unsent.bans[key] = true
+		}
+	}
+}
+
 // addBan adds a ban in place of those that it covers, and drops what is held against other parts for the
 // crashes that it explains. Other requests that were in flight there may crash engines as well.
-func (i *Isolator) addBan(parts []string, until, crashedAt time.Time) *ban {
+func (i *Isolator) addBan(parts []string, until, crashedAt time.Time, earlyTrials int) *ban {
 	for key, other := range i.bans {
 		if containsAll(other.parts, parts) {
 			delete(i.bans, key)
 		}
 	}
-	b := &ban{parts: parts, crashedAt: crashedAt, trialAt: crashedAt.Add(i.c.BanTime), trialPause: i.c.BanTime}
+	b := &ban{parts: parts, crashedAt: crashedAt, trialAt: crashedAt.Add(i.c.BanTime), trialPause: i.c.BanTime, earlyTrials: earlyTrials}
+	if earlyTrials > 0 {
+		b.trialAt = crashedAt.Add(earlyTrialPause)
+	}
 	b.prolong(until)
 	i.bans[b.key()] = b
 	for upstream, c := range i.crashes {
@@ -164,8 +220,11 @@
 		isChanged = true
 		delete(i.bans, key)
 		rest := slices.DeleteFunc(slices.Clone(b.parts), func(other string) bool { return other == part })
-		if len(rest) > 0 {
-			i.addBan(rest, b.until, b.crashedAt)
+		if len(rest) == 0 {
+			continue
+		}
+		if kept := i.addBan(rest, b.until, b.crashedAt, b.earlyTrials); b.earlyTrials > 0 {
+			kept.trialAt = b.trialAt
 		}
 	}
 	return isChanged
--- a/internal/request/isolator/evidence.go
+++ b/internal/request/isolator/evidence.go
@@ -25,9 +25,10 @@
 
 // Ban is a ban of the calls that have all of some parts, one of which may be the request itself.
 type Ban struct {
-	Parts     []string      // sorted
-	Age       time.Duration // since the newest crash that is held against the parts
-	Remaining time.Duration
+	Parts       []string      // sorted
+	Age         time.Duration // since the newest crash that is held against the parts
+	Remaining   time.Duration
+	EarlyTrials int // that may still run
 }
 
 // Evidence is what entries tell each other. Bans concern all entries; crashes and proofs those that decide, unless
@@ -199,8 +200,9 @@
 		if until.Sub(known.until) > sameCrash {
 			known.prolong(until)
 		}
+		known.setEarlyTrials(now, b.EarlyTrials, i.c.BanTime)
 		return false
 	}
-	i.addBan(parts, until, crashedAt)
+	i.addBan(parts, until, crashedAt, b.EarlyTrials)
 	return true
 }
--- a/internal/request/isolator/isolator.go
+++ b/internal/request/isolator/isolator.go
@@ -2,7 +2,7 @@
 // among calls of which no two are alike. When an upstream ends, all requests in flight there are suspects, and the
 // parts of those calls that had not begun to be answered. A call that begins proves that its parts are sound,
 // since a bad part crashes each engine before it writes anything; a complete answer proves the request sound.
-// What is left after several crashes is banned. Entries exchange crashes, proofs and bans, with ages instead of
+// What is left after several crashes is banned. A ban for crashes that may have had one other cause is tried early. Entries exchange crashes, proofs and bans, with ages instead of
 // times, since each of them sees a part of the calls in flight only. The package does no I/O and reads no clock.
 package isolator
 
--- a/internal/request/isolator/weigh.go
+++ b/internal/request/isolator/weigh.go
@@ -23,6 +23,9 @@
 	// burstCoverage of them.
 	certainCrashes = 5
 	burstCoverage  = 0.9
+	// commonTime is the time within which crashes may have one cause in common that no call is to blame for. A request
+	// that many callers send is in flight on most engines then.
+	commonTime = time.Second
 	// crashesToRefine is the number of crashes under a part of a ban, of calls that the ban does not
 	// cover, at which the part is banned by itself.
 	crashesToRefine = 2
@@ -38,7 +41,7 @@
 		if !isFound {
 			return banned
 		}
-		b := i.addBan(i.inseparable(best), now.Add(i.c.BanTime), best.last)
+		b := i.addBan(i.inseparable(best), now.Add(i.c.BanTime), best.last, best.earlyTrials())
 		i.unsent.bans[b.key()] = true
 		banned = append(banned, b.report(now))
 	}
@@ -81,9 +84,18 @@
 	suspect  string
 	crashes  int
 	hasBegun bool
+	first    time.Time
 	last     time.Time
 }
 
+// earlyTrials returns the number of early trials of a ban of the candidate.
+func (c candidate) earlyTrials() int {
+	if c.last.Sub(c.first) > commonTime {
+		return 0
+	}
+	return maxEarlyTrials
+}
+
 // isolate returns the suspect that the evidence isolates best.
 func (i *Isolator) isolate(now time.Time) (best candidate, isFound bool) {
 	for suspect := range i.suspects {
@@ -120,7 +132,7 @@
 		return c, false
 	}
 	times.sort()
-	c.crashes, c.last = len(times.all), times.last()
+	c.crashes, c.first, c.last = len(times.all), times.all[0], times.last()
 	return c, i.isIsolated(c, times)
 }
 
--- a/internal/request/isolator/wire.go
+++ b/internal/request/isolator/wire.go
@@ -26,7 +26,7 @@
 // BansToWire converts bans to messages.
 func BansToWire(bans []Ban) (messages []wire.PartBan) {
 	for _, b := range bans {
-		messages = append(messages, wire.PartBan{Parts: b.Parts, AgeMillis: b.Age.Milliseconds(), RemainingMillis: b.Remaining.Milliseconds()})
+		messages = append(messages, wire.PartBan{Parts: b.Parts, AgeMillis: b.Age.Milliseconds(), RemainingMillis: b.Remaining.Milliseconds(), EarlyTrials: b.EarlyTrials})
 	}
 	return messages
 }
@@ -59,6 +59,7 @@
 	for _, m := range messages {
 		bans = append(bans, Ban{
 			Parts: slices.Sorted(slices.Values(m.Parts)), Age: time.Duration(m.AgeMillis) * time.Millisecond, Remaining: time.Duration(m.RemainingMillis) * time.Millisecond,
+			EarlyTrials: m.EarlyTrials,
 		})
 	}
 	return bans
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -706,6 +706,9 @@
 	// time since the newest crash that is held against the parts
 	AgeMillis int64 `json:"AgeMillis"`
 
+	// early trials that calls may still run
+	EarlyTrials int `json:"EarlyTrials,omitempty,omitzero"`
+
 	// Parts corresponds to the JSON schema field "Parts".
 	Parts []string `json:"Parts"`
 
