Forwarder: reading an event, and the decision that its answer has begun, in one function

The reader of a stream's events asked in its own loop whether the attempt had been given up; nextEvent does both. No decision changes (TestBegunAtStartDeadline passes).

--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -81,6 +81,15 @@
 	return a.x.route.Kind == foxtailwharf.CallStream && a.answer.Status == http.StatusOK
 }
 
+// nextEvent returns the next event of the answer. It fails if the attempt was given up before the first one with data.
+func (a *attempt) nextEvent() (splitter.Event, error) {
+	event, err := a.eventReader().next()
+	if err == nil && event.HasData && !a.hear() {
+		err = awaitGivenUp(a.ctx)
+	}
+	return event, err
+}
+
 // forwardStream forwards complete events as they arrive.
 func (a *attempt) forwardStream(ctx context.Context) (outcome, balancer.Result) {
 	x := a.x
@@ -91,10 +100,9 @@
 	}
 	x.progress.setWeights(a.reply.Weights)
 	header := x.f.c.Dialect.AnswerHeader(a.answer.Header)
-	events := a.eventReader()
 	resumedAfter := a.resumedAfter()
 	for {
-		event, err := events.next()
+		event, err := a.nextEvent()
 		switch {
 		case errors.Is(err, io.EOF):
 			if !x.progress.advance() {
@@ -112,9 +120,6 @@
 			a.logRepeated(event.ID)
 			return unknown, balancer.Failed
 		}
-		if event.HasData && !a.hear() {
-			return a.handleBroken(ctx, awaitGivenUp(ctx))
-		}
 		if !x.progress.advanceStream(event, isEventStream(header)) {
 			return unknown, balancer.Stalled
 		}
