A restart ends only the calls that were sent before the agent reported it

Cause: HasEnded asked whether the agent had ever reported the run that the record named. A copy of the store names one that the agent had reported in its time, while the call goes to the run after it; and what the agent had reported was forgotten with the record. Change: the time tells them apart. A run has ended for a call if the agent's first report of a younger run, after one of an older run, came after the call had been started. What agents report is kept while a record is away, bounded in number.

--- a/internal/request/assigner/assigner.go
+++ b/internal/request/assigner/assigner.go
@@ -183,11 +183,11 @@
 	return a.queue.Len()
 }
 
-// HasEnded reports whether an upstream has ended, as Balancer.HasEnded does.
-func (a *Assigner) HasEnded(u foxtailwharf.Upstream) bool {
+// HasEnded reports whether an upstream has ended since a call was sent to it, as Balancer.HasEnded does.
+func (a *Assigner) HasEnded(u foxtailwharf.Upstream, sentAt time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.balancer.HasEnded(time.Now(), u)
+	return a.balancer.HasEnded(time.Now(), u, sentAt)
 }
 
 // MayHaveEnded reports whether an upstream may have ended, as Balancer.MayHaveEnded does.
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -38,9 +38,8 @@
 	byService map[string][]*upstream
 	byMachine map[netip.Addr][]*upstream
 	reported  map[netip.Addr]netip.AddrPort // address of the upstream that the agent on a machine reports
-	// reportedRuns holds the starts of the last runs that agents have reported, in Unix milliseconds, by the ID of the
-	// upstream, the newest one last.
-	reportedRuns map[string][]int64
+	// reportedRuns holds the runs that agents have reported, by the ID of the upstream, also while it is not listed.
+	reportedRuns map[string]knownRun
 	releases     map[string][]release // by service, in ascending order of version
 	entries      int                  // that share the upstreams, this one included
 	reporting    map[string]bool      // engines whose agents report here, by ID; nil for all
@@ -67,7 +66,7 @@
 		byService:    make(map[string][]*upstream),
 		byMachine:    make(map[netip.Addr][]*upstream),
 		reported:     make(map[netip.Addr]netip.AddrPort),
-		reportedRuns: make(map[string][]int64),
+		reportedRuns: make(map[string]knownRun),
 		releases:     make(map[string][]release),
 		entries:      1,
 		statements:   make(map[run]*statement),
@@ -177,7 +176,7 @@
 	}
 	b.byID = byID
 	maps.DeleteFunc(b.reported, func(machine netip.Addr, _ netip.AddrPort) bool { return b.byMachine[machine] == nil })
-	maps.DeleteFunc(b.reportedRuns, func(id string, _ []int64) bool { return byID[id] == nil })
+	b.forgetRuns()
 	b.forgetStatements()
 }
 
@@ -196,7 +195,7 @@
 func (b *Balancer) report(now time.Time, u *upstream, load foxtailwharf.UpstreamLoad) {
 	isOtherRun := !load.Born.Equal(u.load.Born)
 	u.load = load
-	b.recordRun(u)
+	b.recordRun(now, u)
 	if isOtherRun {
 		b.updateStatement(u)
 	}
--- a/internal/request/balancer/rival.go
+++ b/internal/request/balancer/rival.go
@@ -1,8 +1,8 @@
 package balancer
 
 import (
+	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -96,29 +96,39 @@
 	return u.hasAgentSeen() && !u.load.IsDown && u.reportAge(now) <= loadLifetime && u.load.Born.UnixMilli() == born.UnixMilli()
 }
 
-// maxReportedRuns bounds the runs of an upstream that are kept.
-const maxReportedRuns = 4
+// knownRun is the youngest run of an upstream that its agent has reported.
+type knownRun struct {
+	bornMillis int64
+	since      time.Time // when it was first reported
+	isRestart  bool      // an older run was reported before
+}
 
-// recordRun records that the agent has reported a run of an upstream.
-func (b *Balancer) recordRun(u *upstream) {
-	runs := b.reportedRuns[u.ID]
+// recordRun records the run of an upstream that its agent reports.
+func (b *Balancer) recordRun(now time.Time, u *upstream) {
+	last, isKnown := b.reportedRuns[u.ID]
 	born := u.load.Born.UnixMilli()
-	if u.load.Born.IsZero() || (len(runs) > 0 && runs[len(runs)-1] == born) {
-		return
+	if !u.load.Born.IsZero() && (!isKnown || born > last.bornMillis) {
+		b.reportedRuns[u.ID] = knownRun{bornMillis: born, since: now, isRestart: isKnown}
+	}
+}
+
+// forgetRuns drops the runs of upstreams that are not listed if they are too many.
+func (b *Balancer) forgetRuns() {
+	if len(b.reportedRuns) > len(b.byID)+maxStatements {
+		maps.DeleteFunc(b.reportedRuns, func(id string, _ knownRun) bool { return b.byID[id] == nil })
 	}
-	runs = append(runs, born)
-	b.reportedRuns[u.ID] = runs[max(len(runs)-maxReportedRuns, 0):]
 }
 
-// HasEnded reports whether the run of an upstream that a call was sent to has ended: its agent has reported that run, and
-// now reports a younger one. Records show nothing, and neither does a first report: the record by which the call was sent
-// may have come from another writer, or from an older copy of the store, and told a wrong start.
-func (b *Balancer) HasEnded(now time.Time, sentTo foxtailwharf.Upstream) bool {
+// HasEnded reports whether the run of an upstream to which a call was sent at a time has ended: its agent reports a restart
+// that it did not report before that time. Records show nothing, and neither does a first report: the record by which the
+// call was sent may have come from another writer, or from an older copy of the store, and told a wrong start.
+func (b *Balancer) HasEnded(now time.Time, sentTo foxtailwharf.Upstream, sentAt time.Time) bool {
 	u := b.byID[sentTo.ID]
-	if u == nil || u.reportAge(now) > loadLifetime || !isYounger(u.load.Born, sentTo.Born) {
+	if u == nil || u.reportAge(now) > loadLifetime {
 		return false
 	}
-	return slices.Contains(b.reportedRuns[u.ID], sentTo.Born.UnixMilli())
+	r := b.reportedRuns[u.ID]
+	return r.isRestart && r.since.After(sentAt)
 }
 
 // MayHaveEnded reports whether the list or the agent of an upstream tell of a younger run than the one that a call was
--- a/internal/request/balancer/rival_test.go
+++ b/internal/request/balancer/rival_test.go
@@ -79,10 +79,10 @@
 				b := newBalancer(list...)
 				b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: start})
 				b.Report(start, machine(1), tt.load)
-				if hasEnded := b.HasEnded(start, engine); hasEnded != tt.engineEnded {
+				if hasEnded := b.HasEnded(start, engine, start.Add(-time.Millisecond)); hasEnded != tt.engineEnded {
 					t.Errorf("the engine has ended: %t, want %t", hasEnded, tt.engineEnded)
 				}
-				if b.HasEnded(start, other) || b.IsSuspect(start, other.ID) {
+				if b.HasEnded(start, other, start.Add(-time.Millisecond)) || b.IsSuspect(start, other.ID) {
 					t.Error("the other one counts as ended or silent, want neither")
 				}
 				if isSuspect := b.IsSuspect(start, engine.ID); isSuspect != tt.load.IsDown {
@@ -102,7 +102,7 @@
 	b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: start})
 	b.Set([]foxtailwharf.Upstream{other})
 	b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: start.Add(time.Minute)})
-	if b.HasEnded(start, other) {
+	if b.HasEnded(start, other, start.Add(-time.Millisecond)) {
 		t.Error("the other one counts as ended, want it not to")
 	}
 }
@@ -180,10 +180,14 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			sentTo := listed(1, "near", 1)
+			sentTo, sentAt := listed(1, "near", 1), start.Add(-time.Millisecond)
 			b := newBalancer(sentTo)
-			for _, born := range tt.reports {
-				b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: born})
+			for n, born := range tt.reports {
+				at := start
+				if n == 0 {
+					at = sentAt.Add(-time.Millisecond)
+				}
+				b.Report(at, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: born})
 			}
 			if !tt.listed.IsZero() {
 				u := sentTo
@@ -193,9 +197,46 @@
 					b.Report(start, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: tt.reports[n-1]})
 				}
 			}
-			if ended, mayHaveEnded := b.HasEnded(start, sentTo), b.MayHaveEnded(start, sentTo); ended != tt.ended || mayHaveEnded != tt.mayHaveEnded {
+			if ended, mayHaveEnded := b.HasEnded(start, sentTo, sentAt), b.MayHaveEnded(start, sentTo); ended != tt.ended || mayHaveEnded != tt.mayHaveEnded {
 				t.Errorf("it has ended: %t, it may have: %t; want %t and %t", ended, mayHaveEnded, tt.ended, tt.mayHaveEnded)
 			}
 		})
 	}
 }
+
+// TestRecordGoesBack guards against the end of calls that were sent by a record which has gone back to a run that the agent
+// had reported in its time, and against calls that stay with a run which was replaced while its record had lapsed.
+func TestRecordGoesBack(t *testing.T) {
+	const later = time.Second
+	before, after := listed(1, "near", 1), listed(1, "near", 1)
+	after.Born = start.Add(later)
+	report := func(b *balancer.Balancer, at time.Time, u foxtailwharf.Upstream) {
+		b.Report(at, machine(1), foxtailwharf.UpstreamLoad{Weights: 1, Born: u.Born})
+	}
+	tests := []struct {
+		name          string
+		lists         [][]foxtailwharf.Upstream // from the first report until the second one
+		sentAt, until time.Duration             // of the call and of the check, from the second report
+		ended         bool
+	}{
+		{"restored after the restart", [][]foxtailwharf.Upstream{{after}, {before}}, later, 2 * later, false},
+		{"lapsed during the restart", [][]foxtailwharf.Upstream{nil, {after}}, -later, 0, true},
+		{"listed all the time", [][]foxtailwharf.Upstream{{after}}, -later, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBalancer(before)
+			report(b, start.Add(-2*later), before)
+			for _, list := range tt.lists {
+				b.Set(list)
+				if len(list) > 0 && list[0].Born.Equal(after.Born) {
+					report(b, start, after)
+				}
+			}
+			report(b, start.Add(tt.until), after)
+			if ended := b.HasEnded(start.Add(tt.until), before, start.Add(tt.sentAt)); ended != tt.ended {
+				t.Errorf("it has ended: %t, want %t", ended, tt.ended)
+			}
+		})
+	}
+}
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -40,6 +40,7 @@
 	parent     context.Context // of the call; set by start
 	ctx        context.Context // of the attempt; set by start
 	cancel     context.CancelCauseFunc
+	startedAt  time.Time           // set by start
 	sentAt     time.Time           // set by send
 	answer     *requester.Response // nil until the head of the answer was read
 	reply      foxtailwharf.Reply
@@ -80,7 +81,7 @@
 
 // start sets up the context of the attempt within that of the call, and the checks of the upstream.
 func (a *attempt) start(ctx context.Context) {
-	a.parent = ctx
+	a.parent, a.startedAt = ctx, time.Now()
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.heardAt.Store(int64(time.Since(a.x.started)))
 	// The timer is started only once the field that checkUpstream uses is set.
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -52,7 +52,7 @@
 	if a.isDone.Load() {
 		return
 	}
-	if a.x.f.c.Assigner.HasEnded(a.upstream) {
+	if a.x.f.c.Assigner.HasEnded(a.upstream, a.startedAt) {
 		a.cancel(errUpstreamEnded)
 		return
 	}
