An engine takes calls again after a load that counted as failed

What callers saw: 503 from the only engine of a service for good, after a load that had waited for its running calls for over 6 s. Cause: after 6 s the order counts as failed, and the agent tells the entries once more that it drains. The engine then holds the version after all, no step is left, and nobody takes that word back. The same happens after an order whose answer is lost. Evidence: TestEngineTakesCallsAfterLongLoad failed on the code before (503 five seconds after the load of a stream of 120 events). Change: the drain ends as well once the engine holds the version. Result: the test passes for 15 lengths.

--- a/internal/process/provisioner/install.go
+++ b/internal/process/provisioner/install.go
@@ -155,13 +155,14 @@
 		i.resetLoad()
 		return
 	}
-	if i.loadOrderedAt.IsZero() {
+	// An order that counts as timed out, or as refused, may take effect while the engine drains once more.
+	if i.loadOrderedAt.IsZero() && i.drainStartedAt.IsZero() {
 		return
 	}
 	if load.Weights >= i.target().release.Version {
 		i.p.c.Log.Info("agent: engine loaded the release", zap.Int64("Version", load.Weights), zap.Duration("AfterNaming", time.Since(i.newest.namedAt)))
 		i.resetLoad()
-	} else if time.Since(i.loadOrderedAt) > loadTimeout {
+	} else if !i.loadOrderedAt.IsZero() && time.Since(i.loadOrderedAt) > loadTimeout {
 		i.p.c.Log.Warn("agent: engine load timed out; retrying", zap.Int64("Version", i.newest.release.Version))
 		i.resetLoad()
 	}
--- a/standin/simulator/loadcuts_test.go
+++ b/standin/simulator/loadcuts_test.go
@@ -253,3 +253,36 @@
 		}
 	})
 }
+
+// TestEngineTakesCallsAfterLongLoad guards against an engine that gets no calls any more after a load that had waited for so
+// long that it counted as failed.
+func TestEngineTakesCallsAfterLongLoad(t *testing.T) {
+	t.Parallel()
+	for events := 100; events < 160; events += 4 {
+		c := longStreamFleet(nil)
+		c.Entries, c.Engines, c.Domains = 2, 1, 1
+		c.EventsOf = func(call string) int {
+			if strings.HasPrefix(call, longRoute) {
+				return events
+			}
+			return 8
+		}
+		run(t, c, 0, func(h *harness) {
+			configuration := h.Configuration(2, simulator.Key)
+			r := configuration.Routes[0]
+			r.Name, r.Prefix, r.Goal, r.Timeout = longRoute, "/"+longRoute+"/", time.Second, 30*time.Second
+			configuration.Routes = append(configuration.Routes, r)
+			h.Store.PutConfiguration(configuration)
+			time.Sleep(2 * time.Second)
+			h.release(2)
+			time.Sleep(2*time.Second + time.Duration(events)*7*time.Millisecond)
+			h.callers.Go(func() { h.call(h.Entries[0], longRoute, simulator.Key, 500) })
+			h.waitForVersion(2, 40*time.Second)
+			h.callers.Wait()
+			time.Sleep(5 * time.Second)
+			if r := h.call(h.Entries[0], "chat", simulator.Key, 500); !r.isWhole {
+				t.Errorf("%d events: status %d 5 s after the load, want a whole stream", events, r.status)
+			}
+		})
+	}
+}
