A ban, a silence or a deadline ends no answer that begins at the same moment

What callers saw: streams cut after their first event with seconds left, when a ban came at that moment; and attempts that were not checked any more after they had begun at the deadline of a version, so that the end of their upstream was noticed 1.7 s later. Change: the first data of an answer takes the call out of those that a ban ends, under the same lock, and is not forwarded if the ban was first. The checks go on. Silence asks for the beginning first.

--- a/internal/request/forwarder/beginning.go
+++ b/internal/request/forwarder/beginning.go
@@ -41,11 +41,13 @@
 	return a.beginning.begin()
 }
 
-// giveUp cancels the attempt unless it has begun to be answered.
-func (a *attempt) giveUp(cause error) {
-	if a.beginning.giveUp() {
-		a.cancel(cause)
+// giveUp cancels the attempt and returns true, unless it has begun to be answered.
+func (a *attempt) giveUp(cause error) bool {
+	if !a.beginning.giveUp() {
+		return false
 	}
+	a.cancel(cause)
+	return true
 }
 
 // awaitGivenUp waits for the cancellation of an attempt that has been given up, and returns its cause.
--- a/internal/request/forwarder/bench_test.go
+++ b/internal/request/forwarder/bench_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/foxtailwharf/foxtailwharf"
@@ -123,7 +124,12 @@
 			b.publish()
 		},
 		Random: rand.New(rand.NewPCG(2, 2)),
-		Log:    zap.New(core),
+		Log: zap.New(core, zap.Hooks(func(e zapcore.Entry) error {
+			if logHook != nil {
+				logHook(e.Message)
+			}
+			return nil
+		})),
 	})
 	b.client = &http.Client{Transport: dialer.Transport(b.network, false)}
 	b.view = follower.View{HasProof: true, Configuration: &foxtailwharf.Configuration{
@@ -274,3 +280,6 @@
 		}
 	}
 }
+
+// logHook is called with each line of a forwarder, before the next step; nil for none.
+var logHook func(message string)
--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -189,6 +189,7 @@
 		ended := 0
 		for x := range f.pending {
 			if b.Covers(x.suspects) {
+				x.isBanned = true
 				x.cancel(errQuarantined)
 				ended++
 			}
@@ -210,9 +211,10 @@
 	return 0
 }
 
-// removePending removes a call that has begun to be answered or has ended.
-func (f *Forwarder) removePending(x *exchange) {
+// removePending removes a call that begins to be answered or has ended. It returns false if a ban has ended it before.
+func (f *Forwarder) removePending(x *exchange) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.pending, x)
+	return !x.isBanned
 }
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -44,6 +44,7 @@
 	request    string   // identifies identical requests
 	suspects   []string // the request and the parts of its prompt
 	isTrial    bool     // runs in spite of a ban
+	isBanned   bool     // a ban has ended the call before it began to be answered; guarded by the forwarder's mutex
 	// isBodyBegun is set once the body is being read, and hasBodyFailed if that fails.
 	isBodyBegun, hasBodyFailed bool
 	cancel                     context.CancelCauseFunc
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -81,10 +81,10 @@
 	return a.x.route.Kind == foxtailwharf.CallStream && a.answer.Status == http.StatusOK
 }
 
-// nextEvent returns the next event of the answer. It fails if the attempt was given up before the first one with data.
+// nextEvent returns the next event of the answer. It fails if the attempt was given up, or the call banned, before the first one with data.
 func (a *attempt) nextEvent() (splitter.Event, error) {
 	event, err := a.eventReader().next()
-	if err == nil && event.HasData && !a.hear() {
+	if err == nil && event.HasData && !(a.hear() && (a.hasEvent.Load() || a.x.f.removePending(a.x))) {
 		err = awaitGivenUp(a.ctx)
 	}
 	return event, err
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -32,13 +32,15 @@
 // handleSilence seeks another upstream. If it is called again without data in between, it gives up the
 // attempt of a call that may be repeated.
 func (a *attempt) handleSilence(ctx context.Context) {
+	// Data that comes from here on makes the upstream no silent one, or else makes giveUp fail.
+	isBegun := a.beginning.isMade()
 	switch {
 	case a.isDone.Load() || !a.isSilent():
 	case !a.isSuspect.Swap(true) && a.silenceLeft() > 0:
 		a.x.startBackup(ctx, a)
 		a.stallTimer.Reset(a.furtherSilence())
 	case !a.x.route.IsRepeatable():
-	case a.beginning.isMade():
+	case isBegun:
 		a.cancel(errSilent)
 	default:
 		a.giveUp(errSilent)
@@ -62,11 +64,12 @@
 	next := upstreamCheckInterval
 	if startDeadline := a.startDeadline(); !startDeadline.IsZero() {
 		left := time.Until(startDeadline)
-		if left <= 0 {
-			a.giveUp(errWeightsReplaced)
+		switch {
+		case left > 0:
+			next = min(next, left)
+		case a.giveUp(errWeightsReplaced):
 			return
 		}
-		next = min(next, left)
 	}
 	a.checkTimer.Reset(next)
 }
