--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -81,10 +81,19 @@
 	return a.x.route.Kind == foxtailwharf.CallStream && a.answer.Status == http.StatusOK
 }
 
+// mayForward records that data of the answer has arrived. It returns false if the attempt was given up, or its call
+// banned, before the first data.
+func (a *attempt) mayForward() bool {
+	if !a.hear() {
+		return false
+	}
+	return a.hasEvent.Load() || a.x.f.removePending(a.x)
+}
+
 // nextEvent returns the next event of the answer. It fails if the attempt was given up, or the call banned, before the first one with data.
 func (a *attempt) nextEvent() (splitter.Event, error) {
 	event, err := a.eventReader().next()
-	if err == nil && event.HasData && !(a.hear() && (a.hasEvent.Load() || a.x.f.removePending(a.x))) {
+	if err == nil && event.HasData && !a.mayForward() {
 		err = awaitGivenUp(a.ctx)
 	}
 	return event, err
