Stand-in caller builds no body that it does not send

Cause: since the stand-in builds the first part of a body before the head, it did so also for callers that wait for 100 Continue and send none: 800 MB in two of these cases, in the same process as the server. Change: it builds what it sends. Result: the tests of refusals pass beside the same load.

--- a/standin/upload.go
+++ b/standin/upload.go
@@ -61,7 +61,10 @@
 // the body cannot be sent, or if the answer is incomplete.
 func (c *Caller) Send(u Upload) (UploadAnswer, error) {
 	// A large part takes time to build, and the server waits only so long for the first byte of some bodies.
-	first := u.part(0)
+	var first []byte
+	if !u.WaitsForContinue {
+		first = u.part(0)
+	}
 	if _, err := c.conn.Write(u.head()); err != nil {
 		return UploadAnswer{}, errors.Wrap(err, "Caller.Send: head")
 	}
