A second shutdown of a server does not wait for the listener of the first

Cause: the deadline of Accept was put into a channel before the listener was asked whether it has deadlines. One without them (TLS, the stand-in's) left it there, and the next shutdown waited for room. What callers of the product's own interface with TLS would have seen: a stop that does not end before its limit, if it is asked for twice. Change: the listener is asked first.

--- a/internal/connection/server/backlog.go
+++ b/internal/connection/server/backlog.go
@@ -30,8 +30,11 @@
 // end makes Accept return all connections that wait, and then net.ErrClosed.
 func (b *backlog) end() error {
 	deadline := time.Now().Add(emptyTime)
+	if err := b.SetDeadline(deadline); err != nil {
+		return errors.Wrap(err, "backlog.end")
+	}
 	b.deadline <- deadline
-	return errors.Wrap(b.SetDeadline(deadline), "backlog.end")
+	return nil
 }
 
 // Accept waits for a connection.
