--- a/internal/connection/callerlimiter/readend_test.go
+++ b/internal/connection/callerlimiter/readend_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,8 +31,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			runFake(t, func(b *bench) {
-				var ended callerlimiter.ReadEnd
-				b.handle = func(w http.ResponseWriter, r *http.Request) { ended = awaitEnd(w, r, tt.hasDeadline) }
+				var last atomic.Pointer[callerlimiter.ReadEnd]
+				b.handle = func(w http.ResponseWriter, r *http.Request) {
+					ended := awaitEnd(w, r, tt.hasDeadline)
+					last.Store(&ended)
+				}
 				c := b.connect()
 				c.send(tt.sent)
 				time.Sleep(time.Second)
@@ -39,6 +43,7 @@
 					_ = c.Close()
 				}
 				time.Sleep(5 * time.Second)
+				ended := last.Load()
 				if !errors.Is(ended.Err, tt.want) || (tt.want != nil && ended.Phase != callerlimiter.PhaseServing) {
 					t.Errorf("the last read ended with %v in phase %s, want %v while the request was served", ended.Err, ended.Phase, tt.want)
 				}
