Stand-in caller builds a part early only where the server waits for it

Change: only callers that expect 100 Continue and do not wait for it build it before the head, and each part is let go once it is sent.

--- a/standin/upload.go
+++ b/standin/upload.go
@@ -62,7 +62,7 @@
 func (c *Caller) Send(u Upload) (UploadAnswer, error) {
 	// A large part takes time to build, and the server waits only so long for the first byte of some bodies.
 	var first []byte
-	if !u.WaitsForContinue {
+	if u.ExpectsContinue && !u.WaitsForContinue {
 		first = u.part(0)
 	}
 	if _, err := c.conn.Write(u.head()); err != nil {
@@ -96,15 +96,16 @@
 	return head.Bytes()
 }
 
-// sendBody sends the body in even parts, of which the first one is given.
+// sendBody sends the body in even parts. The first one may have been built before.
 func (c *Caller) sendBody(u Upload, part []byte) error {
 	for n := range u.parts() {
-		if n > 0 {
+		if part == nil {
 			part = u.part(n)
 		}
 		if _, err := c.conn.Write(part); err != nil {
 			return err
 		}
+		part = nil // many callers wait here at a time
 		time.Sleep(u.Duration / time.Duration(u.parts()))
 	}
 	if !u.IsChunked {
