The end of a shutdown cuts no stream that begins at that moment

Callers whose stream began at the moment at which a shutdown ends the calls that have not begun got its first events and then the end of the connection, although the upstream went on and a begun stream has 0.2 s more.

Cause: two parties decided about one answer. The finisher asked whether the head was sent and then cancelled; the answer began in between. A ban asked in a third way, under a lock of its own.

Now one arbiter decides for each call: its answer begins, or it is given up, by the end of a shutdown or by a ban (exchange.giveUp). The same for each attempt, in place of the forwarder's own beginning, and for requests of the own interface, where the relayer asks it before the head.

--- a/internal/connection/finisher/finisher.go
+++ b/internal/connection/finisher/finisher.go
@@ -111,14 +111,10 @@
 	return context.AfterFunc(f.ending, func() { cancel(ErrEnding) })
 }
 
-// BindStream is Bind for a request that is answered with a stream. If the stream has begun, it goes on for as long as
-// its last bytes can still be sent.
-func (f *Finisher) BindStream(cancel context.CancelCauseFunc, hasBegun func() bool) (unbind func() bool) {
-	unbindEnd := context.AfterFunc(f.ending, func() {
-		if !hasBegun() {
-			cancel(ErrEnding)
-		}
-	})
+// BindStream is Bind for a request that is answered with a stream. giveUp has to cancel it unless the stream has begun, which goes
+// on for as long as its last bytes can still be sent.
+func (f *Finisher) BindStream(cancel, giveUp func(cause error)) (unbind func() bool) {
+	unbindEnd := context.AfterFunc(f.ending, func() { giveUp(ErrEnding) })
 	unbindCut := context.AfterFunc(f.cutting, func() { cancel(ErrEnding) })
 	return func() bool {
 		isEndUnbound := unbindEnd()
--- a/internal/process/receiver/callers.go
+++ b/internal/process/receiver/callers.go
@@ -15,6 +15,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/registrar"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/admitter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/arbiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/explainer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/refuser"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/relayer"
@@ -265,8 +266,13 @@
 	}
 	ctx, cancel := context.WithCancelCause(q.Context())
 	defer cancel(nil)
+	request.Arbiter = &arbiter.Arbiter{}
+	defer r.finisher.BindStream(cancel, func(cause error) {
+		if request.Arbiter.GiveUp(0) {
+			cancel(cause)
+		}
+	})()
 	head := &headWriter{ResponseWriter: w, isLeaving: &r.isLeaving}
-	defer r.finisher.BindStream(cancel, head.isSent.Load)()
 	cost, refusal := r.relayer.Relay(ctx, head, request)
 	r.correctUsage(caps, cost-request.Cost)
 	if refusal != nil {
--- a/internal/process/receiver/headwriter.go
+++ b/internal/process/receiver/headwriter.go
@@ -10,14 +10,15 @@
 type headWriter struct {
 	http.ResponseWriter
 	isLeaving *atomic.Bool
-	isSent    atomic.Bool
+	isSent    bool
 }
 
 // begin is called before each part of the response. Only before the head it has an effect on the connection.
 func (w *headWriter) begin() {
-	if !w.isSent.Swap(true) && w.isLeaving.Load() {
+	if !w.isSent && w.isLeaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	w.isSent = true
 }
 
 // WriteHeader sends the head of the response.
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/requester"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/arbiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 )
@@ -50,7 +51,7 @@
 	isDone     atomic.Bool
 	isSuspect  atomic.Bool // has been silent for so long that another upstream is sought
 	hasEvent   atomic.Bool // an event was received
-	beginning  beginning
+	arbiter    arbiter.Arbiter
 	heardAt    atomic.Int64 // when the call was sent or the last event with data received, in nanoseconds since the arrival of the call
 }
 
--- a/internal/request/forwarder/backup.go
+++ b/internal/request/forwarder/backup.go
@@ -122,7 +122,7 @@
 	b.excluded[a.upstream.ID] = true
 	a.start(ctx)
 	// The other upstream may be silent as well, and the call may be allowed a third one.
-	giveUp := time.AfterFunc(a.firstEventLimit()+patience, func() { a.giveUp(errSilent) })
+	giveUp := time.AfterFunc(a.firstEventLimit()+patience, func() { a.giveUp(0, errSilent) })
 	defer giveUp.Stop()
 	o, result, isBegun := a.send()
 	if isBegun {
@@ -161,7 +161,7 @@
 		a.logRepeated(event.ID)
 		return unknown, balancer.Failed, false
 	case !a.hear():
-		o, result = a.handleBroken(a.ctx, awaitGivenUp(a.ctx))
+		o, result = a.handleBroken(a.ctx, a.awaitGivenUp())
 		return o, result, false
 	default:
 		return o, result, true
--- a/internal/request/forwarder/begunrace_test.go
+++ b/internal/request/forwarder/begunrace_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -134,3 +135,47 @@
 		}
 	})
 }
+
+// beginAt sends an event at a time, and another one soon after.
+func beginAt(at time.Time) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		sayNothing(r, time.Until(at))
+		for n := 1; n <= 2; n++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+			_ = http.NewResponseController(w).Flush()
+			sayNothing(r, 50*time.Millisecond)
+		}
+	}
+}
+
+// TestBegunAtEndOfShutdown guards against streams that are cut because they began at the moment when a shutdown ends the calls that
+// have not.
+func TestBegunAtEndOfShutdown(t *testing.T) {
+	const delay, runs, callers = time.Millisecond, 40, 64
+	cut := 0
+	for range runs {
+		run(t, func(b *bench) {
+			b.setTimeouts(2 * shutdownLength)
+			b.upstream(2, beginAt(b.started.Add(shutdownLength-answerMargin-delay)))
+			b.leave(0)
+			var calls sync.WaitGroup
+			answers := make([]answer, callers)
+			time.Sleep(time.Millisecond)
+			for i := range answers {
+				calls.Go(func() { answers[i] = b.call("/tale/1", limit(shutdownLength)) })
+			}
+			calls.Wait()
+			for _, a := range answers {
+				if have := strings.Join(ids(a.body), " "); a.status == http.StatusOK && (a.err != nil || have != "1 2") {
+					cut++
+				}
+			}
+		})
+	}
+	if cut > 0 {
+		t.Errorf("%d of %d streams were cut after they had begun", cut, runs*callers)
+	}
+}
--- a/internal/request/forwarder/crashes.go
+++ b/internal/request/forwarder/crashes.go
@@ -188,9 +188,7 @@
 	for _, b := range banned {
 		ended := 0
 		for x := range f.pending {
-			if b.Covers(x.suspects) {
-				x.isBanned = true
-				x.cancel(errQuarantined)
+			if b.Covers(x.suspects) && x.giveUp(errQuarantined) {
 				ended++
 			}
 		}
@@ -211,10 +209,9 @@
 	return 0
 }
 
-// removePending removes a call that begins to be answered or has ended. It returns false if a ban has ended it before.
-func (f *Forwarder) removePending(x *exchange) bool {
+// removePending removes a call that begins to be answered or has ended.
+func (f *Forwarder) removePending(x *exchange) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.pending, x)
-	return !x.isBanned
 }
--- a/internal/request/forwarder/exchange.go
+++ b/internal/request/forwarder/exchange.go
@@ -44,7 +44,6 @@
 	request    string   // identifies identical requests
 	suspects   []string // the request and the parts of its prompt
 	isTrial    bool     // runs in spite of a ban
-	isBanned   bool     // a ban has ended the call before it began to be answered; guarded by the forwarder's mutex
 	// isBodyBegun is set once the body is being read, and hasBodyFailed if that fails.
 	isBodyBegun, hasBodyFailed bool
 	cancel                     context.CancelCauseFunc
@@ -83,7 +82,7 @@
 // bindEnd ends the call at the end of a shutdown, unless the returned function is called before.
 func (x *exchange) bindEnd() (unbind func() bool) {
 	if x.route.Kind == foxtailwharf.CallStream {
-		return x.f.finisher.BindStream(x.cancel, x.progress.hasHead)
+		return x.f.finisher.BindStream(x.cancel, func(cause error) { x.giveUp(cause) })
 	}
 	return x.f.finisher.Bind(x.cancel)
 }
--- a/internal/request/forwarder/progress.go
+++ b/internal/request/forwarder/progress.go
@@ -4,17 +4,27 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/request/arbiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/collector"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 )
 
+// Reasons why an event is not forwarded.
+var (
+	errSuperseded = errors.New("another upstream answers the call")
+	errGivenUp    = errors.New("call was given up before its answer began")
+)
+
 // progress is how far the answer to a call has come. Two attempts may share it: one at an upstream that is
 // silent, and the one that looks for another upstream meanwhile.
 type progress struct {
 	mu            sync.Mutex
 	runs          int // attempts that may have run, those under way included
 	isUnknown     bool
-	failure       failure // of the last attempt that may have run
+	failure       failure         // of the last attempt that may have run
+	arbiter       arbiter.Arbiter // whether the call goes on
 	isHeadSent    bool
 	isEventStream bool // that head announces a stream of events
 	lastEvent     string
@@ -143,17 +153,21 @@
 }
 
 // advanceStream is advance for an event of a stream, which is about to be forwarded. An event without data
-// shows no progress and ends the search only if it moves the position or begins the answer.
-func (p *progress) advanceStream(e splitter.Event, isEventStream bool) bool {
+// shows no progress and ends the search only if it moves the position or begins the answer. It fails if another upstream
+// answers already, or if the call was given up before its head.
+func (p *progress) advanceStream(e splitter.Event, isEventStream bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.backup != nil && p.backup.state == backupChosen {
-		return false
+		return errSuperseded
 	}
 	if (e.HasData || e.ID != "" || !p.isHeadSent) && !p.endSearch() {
-		return false
+		return errSuperseded
 	}
 	if !p.isHeadSent {
+		if !p.arbiter.Hear() {
+			return errGivenUp
+		}
 		p.isHeadSent, p.isEventStream = true, isEventStream
 	}
 	if e.ID != "" {
@@ -162,7 +176,7 @@
 	if e.HasData {
 		p.dataAt = time.Now()
 	}
-	return true
+	return nil
 }
 
 // lastData returns when the last event with data was about to be forwarded; zero for none.
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -81,20 +81,11 @@
 	return a.x.route.Kind == foxtailwharf.CallStream && a.answer.Status == http.StatusOK
 }
 
-// mayForward records that data of the answer has arrived. It returns false if the attempt was given up, or its call
-// banned, before the first data.
-func (a *attempt) mayForward() bool {
-	if !a.hear() {
-		return false
-	}
-	return a.hasEvent.Load() || a.x.f.removePending(a.x)
-}
-
-// nextEvent returns the next event of the answer. It fails if the attempt was given up, or the call banned, before the first one with data.
+// nextEvent returns the next event of the answer. It fails if the attempt was given up before the first one with data.
 func (a *attempt) nextEvent() (splitter.Event, error) {
 	event, err := a.eventReader().next()
-	if err == nil && event.HasData && !a.mayForward() {
-		err = awaitGivenUp(a.ctx)
+	if err == nil && event.HasData && !a.hear() {
+		err = a.awaitGivenUp()
 	}
 	return event, err
 }
@@ -129,8 +120,8 @@
 			a.logRepeated(event.ID)
 			return unknown, balancer.Failed
 		}
-		if !x.progress.advanceStream(event, isEventStream(header)) {
-			return unknown, balancer.Stalled
+		if err := x.progress.advanceStream(event, isEventStream(header)); err != nil {
+			return a.handleNotForwarded(err)
 		}
 		if event.HasData {
 			a.begin()
@@ -151,6 +142,14 @@
 	}
 }
 
+// handleNotForwarded handles an attempt whose answer must not begin, or go on, with its next event.
+func (a *attempt) handleNotForwarded(err error) (outcome, balancer.Result) {
+	if errors.Is(err, errSuperseded) {
+		return unknown, balancer.Stalled
+	}
+	return a.handleBroken(a.ctx, a.awaitGivenUp())
+}
+
 // resumedAfter returns the ID of the event after which the answer has to go on; empty if it is to start
 // from the beginning.
 func (a *attempt) resumedAfter() string {
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -33,17 +33,15 @@
 // attempt of a call that may be repeated.
 func (a *attempt) handleSilence(ctx context.Context) {
 	// Data that comes from here on makes the upstream no silent one, or else makes giveUp fail.
-	isBegun := a.beginning.isMade()
+	parts := a.arbiter.Parts()
 	switch {
 	case a.isDone.Load() || !a.isSilent():
 	case !a.isSuspect.Swap(true) && a.silenceLeft() > 0:
 		a.x.startBackup(ctx, a)
 		a.stallTimer.Reset(a.furtherSilence())
 	case !a.x.route.IsRepeatable():
-	case isBegun:
-		a.cancel(errSilent)
 	default:
-		a.giveUp(errSilent)
+		a.giveUp(parts, errSilent)
 	}
 }
 
@@ -67,7 +65,7 @@
 		switch {
 		case left > 0:
 			next = min(next, left)
-		case a.giveUp(errWeightsReplaced):
+		case a.giveUp(0, errWeightsReplaced):
 			return
 		}
 	}
--- a/internal/request/relayer/output.go
+++ b/internal/request/relayer/output.go
@@ -11,6 +11,7 @@
 
 	"github.com/foxtailwharf/foxtailwharf"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/arbiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/explainer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 	"github.com/foxtailwharf/foxtailwharf/wire"
@@ -30,11 +31,13 @@
 	errDisconnected = errors.New("the caller disconnected")
 	errTooLarge     = errors.New("the response exceeds the size limit")
 	errSequence     = errors.New("event IDs are not consecutive")
+	errGivenUp      = errors.New("the request was given up before its response began")
 )
 
 // output is the response to the caller, as far as it was sent.
 type output struct {
 	w        http.ResponseWriter
+	arbiter  *arbiter.Arbiter
 	meter    *meter.Meter
 	identity foxtailwharf.Identity
 	rank     foxtailwharf.Rank
@@ -96,6 +99,9 @@
 	if !follows(o.lastID, event.ID) {
 		return errSequence
 	}
+	if !o.isStarted && !o.arbiter.Hear() {
+		return errGivenUp
+	}
 	o.writeHead(answer, -1)
 	controller := http.NewResponseController(o.w)
 	// The error is ignored because only connections in tests have no deadlines.
--- a/internal/request/relayer/relayer.go
+++ b/internal/request/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/connection/dialer"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/arbiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/budgeter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/claimer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
@@ -59,7 +60,9 @@
 	Cost        float64 // estimated tokens
 	Affinity    string
 	Deadline    time.Time
-	IsBounded   bool         // the deadline is the end of a shutdown
+	IsBounded   bool // the deadline is the end of a shutdown
+	// Arbiter decides whether the response begins or the request is given up; nil if it is not given up before its deadline.
+	Arbiter     *arbiter.Arbiter
 	Key         string       // idempotency key of an at-most-once call; empty for other calls
 	Ticket      *wire.Ticket // takes the place of a key; nil for none
 	ForwardsKey bool
@@ -172,6 +175,9 @@
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, req Request) (cost float64, refusal *foxtailwharf.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	if req.Arbiter == nil {
+		req.Arbiter = &arbiter.Arbiter{}
+	}
 	digest := req.Digest()
 	if refusal = r.checkBan(digest); refusal != nil {
 		return 0, refusal
@@ -180,7 +186,7 @@
 		r:        r,
 		req:      req,
 		digest:   digest,
-		out:      &output{w: w, meter: r.config.Meter, identity: req.Identity, rank: req.Route.Rank, started: time.Now(), limit: r.config.MaxAnswerBytes},
+		out:      &output{w: w, arbiter: req.Arbiter, meter: r.config.Meter, identity: req.Identity, rank: req.Route.Rank, started: time.Now(), limit: r.config.MaxAnswerBytes},
 		excluded: make(map[string]bool),
 	}
 	r.mu.Lock()
--- a/internal/request/relayer/try.go
+++ b/internal/request/relayer/try.go
@@ -182,7 +182,7 @@
 		o.isFinal = true
 	case errors.Is(err, errSequence):
 		return mismatched(err.Error())
-	case errors.Is(err, errDisconnected):
+	case errors.Is(err, errDisconnected), errors.Is(err, errGivenUp):
 		o.isFinal = true
 	case errors.Is(err, errTooLarge):
 		o.refusal = foxtailwharf.OutcomeUnknown(foxtailwharf.ReasonAnswerTooLarge, err.Error())
