Relayer: a stream that begins while another agent is picked is not cut

On the product's own interface a caller got the first event of a stream and then the end of the connection: the agent had been silent, the entry looked for another one, the stream began meanwhile, and the entry cancelled it all the same. Streams without event IDs can't be resumed.

Cause: the same two steps as at the end of a shutdown: canReplace, and then cancel. Each attempt has an arbiter now, which counts heartbeats and parts of the answer: the attempt is given up only if none has come since the watchdog fired. The retry that was taken for it is kept for the next time.

Evidence: TestStreamBeginsWhileAnotherAgentIsPicked failed before ("data: a" and an aborted connection), passes now.

--- a/internal/request/relayer/begun_test.go
+++ b/internal/request/relayer/begun_test.go
@@ -14,8 +14,55 @@
 	"github.com/foxtailwharf/foxtailwharf/internal/request/arbiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/relayer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/runner"
+	"github.com/foxtailwharf/foxtailwharf/wire"
 )
 
+// withoutIDs makes a stream one that no other agent can resume.
+func withoutIDs(_ *wire.Answer, body *string, _ *wire.End) {
+	*body = "data: a\n\ndata: b\n\ndata: c\n\n"
+}
+
+// notifyingCaller tells once when it gets a part of the answer.
+type notifyingCaller struct {
+	*httptest.ResponseRecorder
+	once sync.Once
+	got  chan struct{}
+}
+
+func (c *notifyingCaller) Write(p []byte) (int, error) {
+	defer c.once.Do(func() { close(c.got) })
+	return c.ResponseRecorder.Write(p)
+}
+
+// TestStreamBeginsWhileAnotherAgentIsPicked guards against a stream that is cut, since its agent was taken for stalled when it began.
+func TestStreamBeginsWhileAnotherAgentIsPicked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		first := &slowStream{agent: agent{isStream: true, fault: withoutIDs}, begin: make(chan struct{})}
+		second := &slowStream{agent: agent{isStream: true, fault: withoutIDs}, begin: make(chan struct{})}
+		b.add(&first.agent, first)
+		b.add(&second.agent, second)
+		out := &notifyingCaller{ResponseRecorder: httptest.NewRecorder(), got: make(chan struct{})}
+		sent, looks := time.Now(), 0
+		b.members.look = func() {
+			if time.Since(sent) < time.Second {
+				return
+			}
+			// The first look is whether the fleet has lost the agent, the second one picks another agent.
+			if looks++; looks == 2 {
+				close(first.begin)
+				close(second.begin)
+				<-out.got
+			}
+		}
+		refusal, isAborted := b.relay(out, relayer.Request{})
+		b.close()
+		if refusal != nil || isAborted || strings.Count(out.Body.String(), "data: ") != 3 || first.calls+second.calls != 1 {
+			t.Errorf("have %q after %d calls, %v, aborted %t, want the whole stream of one call", out.Body.String(), first.calls+second.calls, refusal, isAborted)
+		}
+	})
+}
+
 // slowStream begins its stream once begin is closed, and ends it somewhat later.
 type slowStream struct {
 	agent
--- a/internal/request/relayer/exchange.go
+++ b/internal/request/relayer/exchange.go
@@ -133,6 +133,10 @@
 	}
 	e.r.mu.Lock()
 	defer e.r.mu.Unlock()
+	if e.reserved != nil {
+		// The agent went on when this retry was to replace it.
+		return true
+	}
 	pause, isAllowed := e.r.budget.Retry(time.Now(), e.retries)
 	if isAllowed {
 		e.reserved = &pause
--- a/internal/request/relayer/relayer_test.go
+++ b/internal/request/relayer/relayer_test.go
@@ -30,12 +30,17 @@
 type members struct {
 	mu   sync.Mutex
 	list []foxtailwharf.Instance
+	// look is called before the instances are returned, if it is set.
+	look func()
 }
 
 // Live returns the instances.
 func (m *members) Live(foxtailwharf.Role) []foxtailwharf.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.look != nil {
+		m.look()
+	}
 	return m.list
 }
 
--- a/internal/request/relayer/try.go
+++ b/internal/request/relayer/try.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailwharf/foxtailwharf"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/arbiter"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/explainer"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/runner"
 	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
@@ -76,6 +77,7 @@
 	isSent   atomic.Bool
 	cancel   context.CancelCauseFunc
 	watchdog *time.Timer
+	arbiter  arbiter.Arbiter
 	// canReplace reports whether a stalled agent is given up. It is called while the attempt is under way, from
 	// another goroutine.
 	canReplace func() bool
@@ -108,13 +110,15 @@
 	return t.read(guarded, response)
 }
 
-// handleSilence gives up a stalled agent if another one can take the request, and waits on if not.
+// handleSilence gives up a stalled agent if another one can take the request, and waits on if not, or if the agent goes on
+// meanwhile.
 func (t *try) handleSilence() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	parts := t.arbiter.Parts()
 	switch {
 	case t.isEnded:
-	case t.canReplace():
+	case t.canReplace() && t.arbiter.GiveUp(parts):
 		t.cancel(errStalled)
 	default:
 		t.watchdog.Reset(heartbeatTimeout)
@@ -136,6 +140,7 @@
 		GotConn: func(httptrace.GotConnInfo) { t.isSent.Store(true) },
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
 			t.watchdog.Reset(heartbeatTimeout)
+			t.arbiter.Hear()
 			return nil
 		},
 	}
@@ -273,7 +278,7 @@
 // forward sends the response to the caller and checks its end record.
 func (t *try) forward(ctx context.Context, response *http.Response, answer wire.Answer) outcome {
 	t.watchdog.Reset(streamIdleTimeout)
-	counter := &countingReader{reader: response.Body, onRead: func() { t.watchdog.Reset(streamIdleTimeout) }}
+	counter := &countingReader{reader: response.Body, onRead: func() bool { return t.hear(ctx) }}
 	var err error
 	var rest []byte
 	isByEvent := t.isForwardedByEvent(answer)
@@ -344,19 +349,30 @@
 	return o
 }
 
-// countingReader counts the bytes of a response and calls onRead whenever it reads some.
+// hear records that a part of the response has arrived. It returns false if the attempt has been given up, once it is cancelled.
+func (t *try) hear(ctx context.Context) bool {
+	if !t.arbiter.Hear() {
+		<-ctx.Done()
+		return false
+	}
+	t.watchdog.Reset(streamIdleTimeout)
+	return true
+}
+
+// countingReader counts the bytes of a response and calls onRead whenever it reads some. If that returns false, the bytes are
+// dropped.
 type countingReader struct {
 	reader io.Reader
 	count  int64
-	onRead func()
+	onRead func() bool
 }
 
 // Read reads from the response body.
 func (r *countingReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
-	r.count += int64(n)
-	if n > 0 {
-		r.onRead()
+	if n > 0 && !r.onRead() {
+		return 0, errStalled
 	}
+	r.count += int64(n)
 	return n, err
 }
