A ban or a version's deadline ends no answer whose head has gone out or whose upstream has run the call

Callers of streams that begin with a comment got the head, the comment and the end of the connection; callers of buffered answers got 502 while their upstream was sending them. It came with a ban for crashes, or at the deadline of replaced weights.

Cause: an answer counted as begun from its first event with data, although its head is sent with the first event of any kind, and although an upstream that sends the head of a buffered answer has run the call. Such an answer can only be broken off.

Now the arbiter hears every event of a stream and the head of a buffered answer. What counts for crashes (an event with data, or a whole answer) and for silence stays as it was. A part that arrives as a silent attempt is given up keeps it.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -251,6 +251,9 @@
 // instead while the call may be retried.
 func (a *attempt) forwardBuffered(ctx context.Context) (outcome, balancer.Result) {
 	isServerError := a.answer.Status >= http.StatusInternalServerError
+	if !isServerError && !a.hearHead() {
+		return a.handleBroken(ctx, a.awaitGivenUp())
+	}
 	body, err := a.x.f.collector.Collect(a.answer, func() { a.recordPart(isServerError) })
 	if err != nil {
 		return a.handleBroken(ctx, err)
@@ -287,7 +290,7 @@
 // recordPart records that a part of a buffered answer has arrived. A server error ends no search for another
 // upstream.
 func (a *attempt) recordPart(isServerError bool) {
-	if isServerError || a.x.progress.advance() {
+	if (isServerError || a.x.progress.advance()) && a.arbiter.Hear() {
 		a.resetStallTimer()
 	}
 }
--- a/internal/request/forwarder/givingup.go
+++ b/internal/request/forwarder/givingup.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/request/splitter"
 )
 
 // hear records that data of the answer has arrived. It returns false if the attempt has been given up before.
@@ -13,6 +15,20 @@
 	return a.arbiter.Hear()
 }
 
+// hearEvent is hear for an event of a stream, which shows no progress without data.
+func (a *attempt) hearEvent(e splitter.Event) bool {
+	if e.HasData {
+		return a.hear()
+	}
+	return a.arbiter.Hear()
+}
+
+// hearHead records that the head of a buffered answer has arrived: the upstream has run the call. It returns false if the attempt
+// or the call has been given up before.
+func (a *attempt) hearHead() bool {
+	return a.arbiter.Hear() && a.x.progress.arbiter.Hear()
+}
+
 // giveUp cancels the attempt and returns true, unless more than a number of parts of its answer have arrived.
 func (a *attempt) giveUp(parts int64, cause error) bool {
 	if !a.arbiter.GiveUp(parts) {
--- /dev/null
+++ b/internal/request/forwarder/headout_test.go
@@ -0,0 +1,78 @@
+package forwarder_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/foxtailwharf/foxtailwharf/internal/request/balancer"
+	"github.com/foxtailwharf/foxtailwharf/internal/request/isolator"
+	"github.com/foxtailwharf/foxtailwharf/standin"
+)
+
+// commentFirst begins a stream with a comment, and sends its only event later.
+func commentFirst(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, ": reading the prompt\n\n")
+	_ = http.NewResponseController(w).Flush()
+	sayNothing(r, time.Second)
+	_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+}
+
+// inTwoParts sends the two parts of a buffered answer, the second one later.
+func inTwoParts(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.WriteString(w, "first")
+	_ = http.NewResponseController(w).Flush()
+	sayNothing(r, time.Second)
+	_, _ = io.WriteString(w, " second")
+}
+
+// headFirst sends the head of a buffered answer, and its body later.
+func headFirst(w http.ResponseWriter, r *http.Request) {
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	sayNothing(r, time.Second)
+	_, _ = io.WriteString(w, "body")
+}
+
+// TestAnswerWithoutEventHasBegun guards against answers that are cut by a ban, or at the deadline of weights, because no event with
+// data was among what their upstream had sent.
+func TestAnswerWithoutEventHasBegun(t *testing.T) {
+	const after = 500 * time.Millisecond
+	ban := func(b *bench) {
+		b.forwarder.MergeEvidence(isolator.Evidence{Bans: []isolator.Ban{{Parts: []string{"bad"}, Remaining: time.Minute}}})
+	}
+	replace := func(b *bench) {
+		b.assigner.Update(func(x *balancer.Balancer) { x.SetRelease("s", 2, time.Now(), time.Now()) })
+	}
+	tests := []struct {
+		name, path, want string
+		answer           http.HandlerFunc
+		end              func(b *bench)
+	}{
+		{"comment, ban", "/tale/1", "1", commentFirst, ban},
+		{"comment, ban, resumable", "/chat/1", "1", commentFirst, ban},
+		{"comment, deadline of weights", "/tale/1", "1", commentFirst, replace},
+		{"comment, deadline of weights, resumable", "/chat/1", "1", commentFirst, replace},
+		{"buffered answer, ban", "/look/1", "first second", inTwoParts, ban},
+		{"buffered answer, deadline of weights", "/look/1", "first second", inTwoParts, replace},
+		{"head of a buffered answer, ban", "/book/1", "body", headFirst, ban},
+		{"head of a buffered answer, deadline of weights", "/book/1", "body", headFirst, replace},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.serveEngine()
+				b.upstream(2, tt.answer)
+				b.view.Upstreams[0].Weights = 1
+				b.update()
+				time.AfterFunc(after, func() { tt.end(b) })
+				a := b.call(tt.path, func(r *http.Request) { r.Header.Set(standin.HeaderPromptParts, "first,bad") })
+				if a.status != http.StatusOK || a.err != nil || whole(a) != tt.want {
+					t.Errorf("have %d %q, %v after %d runs, want %q", a.status, a.body, a.err, b.ran(a), tt.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -81,10 +81,10 @@
 	return a.x.route.Kind == foxtailwharf.CallStream && a.answer.Status == http.StatusOK
 }
 
-// nextEvent returns the next event of the answer. It fails if the attempt was given up before the first one with data.
+// nextEvent returns the next event of the answer. It fails if the attempt was given up before it.
 func (a *attempt) nextEvent() (splitter.Event, error) {
 	event, err := a.eventReader().next()
-	if err == nil && event.HasData && !a.hear() {
+	if err == nil && !a.hearEvent(event) {
 		err = a.awaitGivenUp()
 	}
 	return event, err
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -39,9 +39,9 @@
 	case !a.isSuspect.Swap(true) && a.silenceLeft() > 0:
 		a.x.startBackup(ctx, a)
 		a.stallTimer.Reset(a.furtherSilence())
-	case !a.x.route.IsRepeatable():
+	case !a.x.route.IsRepeatable() || a.giveUp(parts, errSilent):
 	default:
-		a.giveUp(parts, errSilent)
+		a.restartStallTimer()
 	}
 }
 
@@ -77,9 +77,9 @@
 	return time.Since(a.x.started)-time.Duration(a.heardAt.Load()) >= suspectSilence
 }
 
-// startDeadline returns when the call must have begun; zero if it has, or if there is no limit.
+// startDeadline returns when the answer must have begun; zero if it has, or if there is no limit.
 func (a *attempt) startDeadline() time.Time {
-	if a.hasEvent.Load() {
+	if a.arbiter.HasBegun() {
 		return time.Time{}
 	}
 	return a.x.f.c.Assigner.StartDeadline(a.upstream)
@@ -135,5 +135,9 @@
 func (a *attempt) resetStallTimer() {
 	a.isSuspect.Store(false)
 	a.heardAt.Store(int64(time.Since(a.x.started)))
+	a.restartStallTimer()
+}
+
+func (a *attempt) restartStallTimer() {
 	a.stallTimer.Reset(max(eventTimeout, eventTimeoutPauses*a.x.route.Gap))
 }
