The head of a stream alone binds a call to no weights

Callers got 502 where an upstream had sent the head of a stream and then broke off, and only engines with other weights were left: the call could have begun there.

Cause: the version of the weights became part of the call's position with the head of the upstream's answer, before anything had gone out to the caller. It is set with the first event that is forwarded now, in the same step as the rest of the position.

Evidence: TestHeadAloneBindsNoWeights failed before (502), passes now.

--- a/internal/request/forwarder/headout_test.go
+++ b/internal/request/forwarder/headout_test.go
@@ -76,3 +76,32 @@
 		})
 	}
 }
+
+// TestHeadAloneBindsNoWeights guards against calls that only engines with replaced weights may run, because one of them has sent
+// the head of an answer and no more.
+func TestHeadAloneBindsNoWeights(t *testing.T) {
+	run(t, func(b *bench) {
+		b.serveEngine()
+		b.upstream(2, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(standin.HeaderVersion, "1")
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			sayNothing(r, 100*time.Millisecond)
+			panic(http.ErrAbortHandler)
+		})
+		b.view.Upstreams[0].Weights = 1
+		b.update()
+		time.AfterFunc(50*time.Millisecond, func() {
+			b.upstream(3, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(standin.HeaderVersion, "2")
+				events(1, 3, false)(w, r)
+			})
+			b.view.Upstreams[1].Weights = 2
+			b.update()
+		})
+		if a := b.call("/chat/1", nil); a.status != http.StatusOK || a.err != nil || whole(a) != "1 2 3" {
+			t.Errorf("have %d %q, %v, want the whole stream of the other engine", a.status, a.body, a.err)
+		}
+	})
+}
--- a/internal/request/forwarder/progress.go
+++ b/internal/request/forwarder/progress.go
@@ -136,13 +136,6 @@
 	return position{lastEvent: p.lastEvent, weights: p.weights}
 }
 
-// setWeights records the version of the weights that answers from now on.
-func (p *progress) setWeights(weights int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.weights = weights
-}
-
 // advance records that the attempt under way has received more of its answer, and ends the search for
 // another upstream. It returns false if another upstream answers already: the attempt must forward nothing
 // more.
@@ -152,10 +145,10 @@
 	return p.endSearch()
 }
 
-// advanceStream is advance for an event of a stream, which is about to be forwarded. An event without data
+// advanceStream is advance for an event of a stream, which is about to be forwarded and comes from a version of the weights. An event without data
 // shows no progress and ends the search only if it moves the position or begins the answer. It fails if another upstream
 // answers already, or if the call was given up before its head.
-func (p *progress) advanceStream(e splitter.Event, isEventStream bool) error {
+func (p *progress) advanceStream(e splitter.Event, isEventStream bool, weights int64) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.backup != nil && p.backup.state == backupChosen {
@@ -170,6 +163,7 @@
 		}
 		p.isHeadSent, p.isEventStream = true, isEventStream
 	}
+	p.weights = weights
 	if e.ID != "" {
 		p.lastEvent = e.ID
 	}
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -98,7 +98,7 @@
 		a.setInvalid()
 		return unknown, balancer.Failed
 	}
-	x.progress.setWeights(a.reply.Weights)
+	weights := a.reply.Weights
 	header := x.f.c.Dialect.AnswerHeader(a.answer.Header)
 	resumedAfter := a.resumedAfter()
 	for {
@@ -120,7 +120,10 @@
 			a.logRepeated(event.ID)
 			return unknown, balancer.Failed
 		}
-		if err := x.progress.advanceStream(event, isEventStream(header)); err != nil {
+		if changed, isChanged := x.f.c.Dialect.EventWeights(event.Text); isChanged {
+			weights = changed
+		}
+		if err := x.progress.advanceStream(event, isEventStream(header), weights); err != nil {
 			return a.handleNotForwarded(err)
 		}
 		if event.HasData {
@@ -128,9 +131,6 @@
 			// A caller that reads slowly does not make the upstream a silent one.
 			a.stallTimer.Stop()
 		}
-		if weights, hasWeights := x.f.c.Dialect.EventWeights(event.Text); hasWeights {
-			x.progress.setWeights(weights)
-		}
 		x.beginStream(a.answer.Status, header)
 		if err := x.writeEvent(event.Text); err != nil {
 			x.recordUnanswered("caller disconnected during its stream", x.cause(ctx, err), zap.Error(err))
