Calls whose upstream has lost its power end a second after its machine is back

What callers saw: a call that may run once, at a plain upstream that lost its power, waited for up to 20 s after its last packet, mostly for its own deadline, though the machine had been back for long. Cause: nothing but a packet on the call's own connection shows the end: the machine, or another one that has got its address, resets what it does not know. Connections were probed after 5 s, and each 15 s from then on: KeepAlive of net.Dialer sets the first time alone. A record of the list is no proof, and a new connection is none either: an upstream that leaves refuses it and finishes its calls, one that is full resets it, and a restart may keep its ID. Change: connections that are opened are probed after a second without data, and each second. 120 probes in a row without an answer end a connection, 140 s before. A silent process's network stack answers them, and one that is cut off may be so for two minutes. No status check is sent, and no record is asked. Not covered: upstreams that do not come back, and calls whose request was not acknowledged when the power went: repeated packets find them, with pauses that double.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -18,12 +18,18 @@
 )
 
 const (
-	connectTimeout    = 500 * time.Millisecond
+	connectTimeout = 500 * time.Millisecond
+	// keepAliveInterval is the time without data after which a connection that was accepted is probed.
 	keepAliveInterval = 5 * time.Second
-	idleTimeout       = 30 * time.Second
-	maxIdlePerPeer    = 256
-	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 64 << 10
+	// probeInterval is the time without data after which a connection that was opened is probed, and the time between
+	// two probes. It is in whole seconds.
+	probeInterval = time.Second
+	// maxUnansweredProbes is the number of probes in a row without an answer that end a connection.
+	maxUnansweredProbes = 120
+	idleTimeout         = 30 * time.Second
+	maxIdlePerPeer      = 256
+	readHeaderTimeout   = 5 * time.Second
+	maxHeaderBytes      = 64 << 10
 )
 
 // TCP implements foxtailwharf.Network. The zero value uses plain TCP.
@@ -76,10 +82,18 @@
 	return listener, nil
 }
 
+// KeepAlive returns the keep-alive probes of the connections that Dial opens. They tell the end of a peer that could not
+// close them, as it lost its power: once its machine is back, or another one has its address, that resets what it does not
+// know. The network stack of a peer that is only silent answers them, and one that is cut off may leave most of them
+// unanswered.
+func KeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: maxUnansweredProbes}
+}
+
 // Dial opens a connection and completes the TLS handshake. The certificate of the server must be
 // valid for the IP address.
 func (n *TCP) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{Timeout: connectTimeout, KeepAlive: keepAliveInterval}
+	d := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: KeepAlive()}
 	if n.client == nil {
 		return d.DialContext(ctx, "tcp", address.String())
 	}
