A stop accepts the connections that wait also if the process has no time for that

TestWaitingConnectionsAreServed failed once here ("connection reset by peer"; 40 runs after it passed): a caller's request, on a connection that was established before the listener closed, got a reset.

Cause, the same as of the connections closed as idle: whether Accept has looked was decided by the time at which it was called. A process that had no time between that and the call, or at the end of the 10 ms, had not looked.

Now both use one rule (package lastlooker): a look counts only if it began before its end and ended in time; otherwise there is another one, eight times as long, up to three. The channel between the two goroutines is gone.

--- a/internal/connection/callerlimiter/conn.go
+++ b/internal/connection/callerlimiter/conn.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/foxtailwharf/foxtailwharf/internal/connection/lastlooker"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/meter"
 )
 
@@ -26,17 +27,6 @@
 	closedUnanswered = "Unanswered"
 )
 
-const (
-	// finalWait is how long a connection whose time is over is read once more, because bytes may have
-	// arrived that the process had no time to read.
-	finalWait = 10 * time.Millisecond
-	// maxFinalReads bounds how often a process that had no time for that does it once more, for finalWaitFactor times as long.
-	maxFinalReads   = 3
-	finalWaitFactor = 8
-	// finalLateness is the part of the wait by which a read may end late that has looked.
-	finalLateness = 4
-)
-
 // conn is a caller's connection. net/http reads from it one goroutine at a time. A read returns no
 // bytes beyond the end of a head or of a body, so that the next head is counted from its first byte.
 type conn struct {
@@ -48,11 +38,9 @@
 	mu        sync.Mutex
 	hasServed bool // an answer was written
 	phase     Phase
-	since     time.Time     // start of the phase
-	final     time.Time     // end of the last read of the phase, once its time is over
-	finals    int           // number of last reads of the phase
-	finalWait time.Duration // of the last read that is under way
-	lookedAt  time.Time     // when the last read of the inner connection began
+	since     time.Time         // start of the phase
+	looker    lastlooker.Looker // of the phase, once its time is over
+	lookedAt  time.Time         // when the last read of the inner connection began
 	head      headScanner
 	bodyBytes int64 // left to read of the request that is served; below 0 if its body is chunked
 	chunks    chunkScanner
@@ -189,7 +177,7 @@
 // enter starts a phase. The lock must be held.
 func (c *conn) enter(p Phase) {
 	c.phase, c.since, c.readEnd = p, time.Now(), ReadEnd{}
-	c.resetFinal()
+	c.looker = lastlooker.Looker{}
 	c.apply()
 }
 
@@ -223,7 +211,7 @@
 func (c *conn) renew() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.resetFinal()
+	c.looker = lastlooker.Looker{}
 	c.apply()
 }
 
@@ -240,35 +228,21 @@
 		c.apply()
 		return false, c.phase
 	}
-	if c.finals < maxFinalReads && !c.hasLooked(now) {
-		c.finalWait = max(finalWait, c.finalWait*finalWaitFactor)
-		c.final = now.Add(c.finalWait)
-		c.finals++
+	if c.looker.Next(c.lookedAt, now) {
 		c.apply()
 		return false, c.phase
 	}
 	return true, c.phase
 }
 
-// resetFinal forgets the last reads of the phase. The lock must be held.
-func (c *conn) resetFinal() {
-	c.final, c.finals, c.finalWait = time.Time{}, 0, 0
-}
-
-// hasLooked reports whether the last read of the phase has found nothing. One that began after its end has not looked, and one
-// that ended much later may not have. The lock must be held.
-func (c *conn) hasLooked(now time.Time) bool {
-	return !c.final.IsZero() && c.lookedAt.Before(c.final) && now.Before(c.final.Add(c.finalWait/finalLateness))
-}
-
 func isPast(deadline, now time.Time) bool {
 	return !deadline.IsZero() && !now.Before(deadline)
 }
 
 // limitDeadline returns when the time of the phase is over; zero for never. The lock must be held.
 func (c *conn) limitDeadline() time.Time {
-	if !c.final.IsZero() {
-		return c.final
+	if end := c.looker.End(); !end.IsZero() {
+		return end
 	}
 	if deadline := c.drainDeadline(); c.phase == PhaseIdle && !deadline.IsZero() {
 		return deadline
--- a/internal/connection/server/server.go
+++ b/internal/connection/server/server.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -35,7 +34,7 @@
 func Start(c Config) *Server {
 	s := &Server{c: c, done: make(chan struct{})}
 	if inner, hasDeadline := c.Listener.(deadlineListener); hasDeadline && c.Drain != nil {
-		s.backlog = &backlog{deadlineListener: inner, deadline: make(chan time.Time, 1)}
+		s.backlog = &backlog{deadlineListener: inner}
 		s.c.Listener = s.backlog
 	}
 	go s.run()
