Entries learn at once that the entry which reads the store for them gets no answers

Seen: where the store falls silent for the entry that reads it for its failure domain, the other entries, which are in touch, have a configuration up to 2.2 s after its acknowledgement; users allow 2 s. Cause: three waits add up. The reader's watch fails after 1.9 s (1.2 s and 700 ms). Its answer to the others stays held for up to 500 ms, since a lost store wakes nobody. The next reader then looks only each 100 ms whether another entry still reads. Evidence: TestSourceFallsSilent, in fake time, fails without the change, three runs of three: "entry-1 does not have the configuration 2s after its acknowledgement". Change: a follower that loses the store wakes the queries that it holds. An entry that is left without another one to rely on ends the pause of its follower. Entries that still have one in rank don't, so that they don't all read at once: without that condition TestStoreTurnsReadersAway failed (234 calls, at most 65). Measured: TestSourceFallsSilent passes, three runs of three, and once with -race. TestStoreTurnsReadersAway counts 42 calls as before. The packages standin/simulator, platform and internal/process passed with the same change.

--- a/internal/process/distributor/sourcepoller.go
+++ b/internal/process/distributor/sourcepoller.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailwharf/foxtailwharf/internal/process/delegator"
+	"github.com/foxtailwharf/foxtailwharf/internal/process/follower"
 	"github.com/foxtailwharf/foxtailwharf/internal/process/sleeper"
 	"github.com/foxtailwharf/foxtailwharf/wire"
 )
@@ -80,7 +81,17 @@
 	}
 	answer, err := p.d.send(ctx, source, q, true)
 	p.d.mu.Lock()
-	defer p.d.mu.Unlock()
+	wasDelegated := p.d.delegator.IsDelegated(time.Now())
+	p.recordAnswer(ctx, source, v, answer, err)
+	_, isRelying := p.d.delegator.Source(time.Now())
+	p.d.mu.Unlock()
+	if wasDelegated && !isRelying {
+		p.d.follower.EndDelegation()
+	}
+}
+
+// recordAnswer records the answer of the source, or its lack, to a query with a view. The caller must hold d.mu.
+func (p *sourcePoller) recordAnswer(ctx context.Context, source netip.AddrPort, v follower.View, answer wire.FleetAnswer, err error) {
 	if err != nil {
 		if ctx.Err() == nil || p.d.delegator.IsDelegated(time.Now()) {
 			p.d.c.Log.Info("store: the entry that reads the store does not answer", zap.Stringer("Source", source), zap.Error(err))
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -97,7 +97,7 @@
 	changedAt      map[string]uint64                         // sequence of the last change, by ID
 	goneAt         map[string]uint64                         // sequence of the removal, by ID
 	goneFloor      uint64                                    // removals up to this sequence are no longer known
-	reachable      chan struct{}                             // closed when the store answers again
+	reachable      chan struct{}                             // closed when the store answers again, or no other entry reads it any more
 	base           Position                                  // position of the entry from which the list was taken; zero if from the store
 	releases       map[string][]foxtailwharf.Release         // by model, in ascending order of version
 	graceUntil     map[string]time.Duration                  // end of the grace period, by ID of the upstream
@@ -221,7 +221,7 @@
 	f.outageEnd = now // upstreams that are newer than the copy have to register again
 }
 
-// waitReachable blocks for the pause, or until the store answers again or ctx ends.
+// waitReachable blocks for the pause, or until the store answers again, no other entry reads it any more, or ctx ends.
 func (f *Follower) waitReachable(ctx context.Context, pause time.Duration) {
 	f.mu.Lock()
 	reachable := f.reachable
@@ -235,6 +235,19 @@
 	}
 }
 
+// EndDelegation makes the follower look at once whether another entry still reads the store for this one.
+func (f *Follower) EndDelegation() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wakePollers()
+}
+
+// wakePollers ends the pauses of all subjects. The lock must be held.
+func (f *Follower) wakePollers() {
+	close(f.reachable)
+	f.reachable = make(chan struct{})
+}
+
 // setReachable records that the store answers again. It wakes the other subjects and ends their
 // calls, so that they are repeated.
 func (f *Follower) setReachable(name foxtailwharf.FleetSubject, now time.Duration, isOutage bool) {
@@ -243,8 +256,7 @@
 	if isOutage {
 		f.outageEnd = now
 	}
-	close(f.reachable)
-	f.reachable = make(chan struct{})
+	f.wakePollers()
 	for other, call := range f.calls {
 		if other != name {
 			call.cancel(errRepeat)
@@ -325,9 +337,14 @@
 	for _, model := range slices.Sorted(maps.Keys(f.releases)) {
 		f.view.Releases = append(f.view.Releases, f.releases[model]...)
 	}
+	f.wakeWaiters()
+	f.c.OnChange(f.view)
+}
+
+// wakeWaiters wakes those that wait for a change. The lock must be held.
+func (f *Follower) wakeWaiters() {
 	close(f.changed)
 	f.changed = make(chan struct{})
-	f.c.OnChange(f.view)
 }
 
 // Merge merges the state that another entry reports into the view.
--- a/internal/process/follower/subjectpoller.go
+++ b/internal/process/follower/subjectpoller.go
@@ -44,7 +44,7 @@
 	for ctx.Err() == nil {
 		if s.f.isDelegated() {
 			s.resetFailures()
-			sleeper.Sleep(ctx, delegationCheckInterval)
+			s.f.waitReachable(ctx, delegationCheckInterval)
 			continue
 		}
 		if err := s.poll(ctx); err != nil && ctx.Err() == nil {
@@ -167,14 +167,17 @@
 	s.setLost(true)
 }
 
-// setLost records in the view whether the store answers for configurations. For other subjects it
-// does nothing.
+// setLost records in the view whether the store answers for configurations, and wakes those that wait for a change once
+// it does not. For other subjects it does nothing.
 func (s *subjectPoller) setLost(isLost bool) {
 	if s.name != foxtailwharf.SubjectConfiguration {
 		return
 	}
 	s.f.mu.Lock()
 	defer s.f.mu.Unlock()
+	if isLost && !s.f.view.IsLost {
+		s.f.wakeWaiters()
+	}
 	s.f.view.IsLost = isLost
 }
 
--- a/standin/simulator/scale_test.go
+++ b/standin/simulator/scale_test.go
@@ -69,6 +69,9 @@
 // require. Up to then calls are accepted, since the users' list may lag by that time.
 const drainBound = 2 * time.Second
 
+// applyBound is the time within which entries must have a configuration, as the users require.
+const applyBound = 2 * time.Second
+
 // callsPerSecond is the rate of calls of one entry that reads the store: a watch of configurations
 // every 1.2 s, and one of each other subject every 8 s or more.
 const callsPerSecond = 1.2
@@ -204,6 +207,47 @@
 	})
 }
 
+// TestSourceFallsSilent guards against entries that miss a configuration because they learn late that the entry which reads
+// the store for them gets no answers any more. The store falls silent for it right before a watch, and changes right after.
+func TestSourceFallsSilent(t *testing.T) {
+	t.Parallel()
+	const (
+		moment    = 4 * time.Millisecond
+		watchTime = 1200 * time.Millisecond // of the configuration
+	)
+	run(t, simulator.Config{Domains: 1, Entries: 2, Engines: 2, Slots: 8, Events: 8}, 0, func(h *harness) {
+		time.Sleep(20 * time.Second) // until the last watches of the entry that relies on the other one end
+		reader := h.nextReader()
+		time.Sleep(watchTime - moment/2)
+		h.Store.SetSilent(reader.Name, true)
+		time.Sleep(moment)
+		h.Store.PutConfiguration(h.Configuration(2, simulator.Key))
+		time.Sleep(applyBound)
+		for _, e := range h.Entries {
+			if e != reader && e.Version() != 2 {
+				t.Errorf("%s does not have the configuration %s after its acknowledgement", e.Name, applyBound)
+			}
+		}
+	})
+}
+
+// nextReader waits until an entry calls the store, and returns it.
+func (h *harness) nextReader() *simulator.Entry {
+	const interval = time.Millisecond
+	before := make(map[*simulator.Entry]int)
+	for _, e := range h.Entries {
+		before[e] = h.Store.Calls(e.Name)
+	}
+	for {
+		time.Sleep(interval)
+		for _, e := range h.Entries {
+			if h.Store.Calls(e.Name) > before[e] {
+				return e
+			}
+		}
+	}
+}
+
 // TestSimultaneousStart guards against a rush on the store when all entries start at once: a few
 // read it for the others, and all have the configuration within a second.
 func TestSimultaneousStart(t *testing.T) {
