Relayer: an agent that is heard as its silence is found goes on, and may pause as long as any other

On the product's own interface streams were cut after their first event (3 to 8 of 1,920 that begin at the end of their agent's time), or at a pause of 3 s where 10 s are allowed, if they had gone on while another agent was picked.

Cause: the parts of the answer were counted after the timer had fired, so that what came between the two counted as heard before; and the timer was set to the limit of heartbeats after an agent that went on, over what its data had set. The watchdog knows until when the agent may be silent now, and sets nothing else for an agent that was heard or a write that waits for its caller.

Also: the end of a stream that comes over 30 s after its last event gets a write deadline of its own; it met that of the event, and the caller got no end.

--- a/internal/request/relayer/output.go
+++ b/internal/request/relayer/output.go
@@ -139,6 +139,8 @@
 
 // finishStream completes a stream, which may have had no event at all.
 func (o *output) finishStream(answer wire.Answer) {
+	// net/http writes the end once the handler has returned. Only connections in tests have no deadlines.
+	_ = http.NewResponseController(o.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	o.writeHead(answer, -1)
 	o.recordWhole()
 }
--- a/internal/request/relayer/try.go
+++ b/internal/request/relayer/try.go
@@ -76,8 +76,8 @@
 	attempt  wire.Attempt
 	isSent   atomic.Bool
 	cancel   context.CancelCauseFunc
-	watchdog *time.Timer
 	arbiter  arbiter.Arbiter
+	watchdog watchdog
 	// canReplace reports whether a stalled agent is given up. It is called while the attempt is under way, from
 	// another goroutine.
 	canReplace func() bool
@@ -94,9 +94,7 @@
 	var guarded context.Context
 	guarded, t.cancel = context.WithCancelCause(ctx)
 	defer t.cancel(nil)
-	// The timer is started only once the field that handleSilence uses is set.
-	t.watchdog = time.AfterFunc(time.Hour, t.handleSilence)
-	t.watchdog.Reset(heartbeatTimeout)
+	t.watchdog.start(heartbeatTimeout, t.handleSilence)
 	defer t.end()
 	request, err := t.request(guarded)
 	if err != nil {
@@ -117,11 +115,11 @@
 	defer t.mu.Unlock()
 	parts := t.arbiter.Parts()
 	switch {
-	case t.isEnded:
+	case t.isEnded || t.watchdog.isEarly():
 	case t.canReplace() && t.arbiter.GiveUp(parts):
 		t.cancel(errStalled)
 	default:
-		t.watchdog.Reset(heartbeatTimeout)
+		t.watchdog.wait(heartbeatTimeout)
 	}
 }
 
@@ -130,7 +128,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.isEnded = true
-	t.watchdog.Stop()
+	t.watchdog.pause()
 }
 
 // request builds the HTTP request. It has no GetBody and no header that would let net/http send
@@ -139,7 +137,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { t.isSent.Store(true) },
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
-			t.watchdog.Reset(heartbeatTimeout)
+			t.watchdog.hear(heartbeatTimeout)
 			t.arbiter.Hear()
 			return nil
 		},
@@ -277,7 +275,7 @@
 
 // forward sends the response to the caller and checks its end record.
 func (t *try) forward(ctx context.Context, response *http.Response, answer wire.Answer) outcome {
-	t.watchdog.Reset(streamIdleTimeout)
+	t.watchdog.hear(streamIdleTimeout)
 	counter := &countingReader{reader: response.Body, onRead: func() bool { return t.hear(ctx) }}
 	var err error
 	var rest []byte
@@ -311,11 +309,11 @@
 			return err
 		}
 		// A caller that reads slowly does not make the agent a stalled one.
-		t.watchdog.Stop()
+		t.watchdog.pause()
 		if err := t.e.out.writeEvent(answer, event); err != nil {
 			return err
 		}
-		t.watchdog.Reset(streamIdleTimeout)
+		t.watchdog.hear(streamIdleTimeout)
 	}
 }
 
@@ -351,11 +349,11 @@
 
 // hear records that a part of the response has arrived. It returns false if the attempt has been given up, once it is cancelled.
 func (t *try) hear(ctx context.Context) bool {
+	t.watchdog.hear(streamIdleTimeout)
 	if !t.arbiter.Hear() {
 		<-ctx.Done()
 		return false
 	}
-	t.watchdog.Reset(streamIdleTimeout)
 	return true
 }
 
