A buffered answer that breaks off leaves its call one that has not begun

Cause: the call's arbiter stayed at "begun". What was heard for an answer that can't be forwarded is taken back now, and an answer that can't be forwarded by its status is not heard at all.

--- a/internal/request/arbiter/arbiter.go
+++ b/internal/request/arbiter/arbiter.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// Drop takes back a part that was heard and cannot be used. Once the answer is given up it does nothing.
+func (a *Arbiter) Drop() {
+	for {
+		parts := a.parts.Load()
+		if parts <= 0 || a.parts.CompareAndSwap(parts, parts-1) {
+			return
+		}
+	}
+}
+
 // Parts returns the number of parts that have arrived. It is what GiveUp takes after a check of the answer that lasts for
 // a time.
 func (a *Arbiter) Parts() int64 {
--- a/internal/request/arbiter/arbiter_test.go
+++ b/internal/request/arbiter/arbiter_test.go
@@ -24,6 +24,12 @@
 					heard++
 				}
 			},
+			"drop": func(*rapid.T) {
+				a.Drop()
+				if !isGivenUp {
+					heard = max(heard-1, 0)
+				}
+			},
 			"give up": func(t *rapid.T) {
 				seen := heard - rapid.Int64Range(0, 2).Draw(t, "missed")
 				want := !isGivenUp && seen == heard
--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -247,13 +247,26 @@
 	}
 }
 
-// forwardBuffered reads an answer that is not a stream and forwards it. A server error is kept
-// instead while the call may be retried.
+// forwardBuffered forwards an answer that is not a stream. Unless it can't be forwarded anyway, nothing but the end of the call's
+// time ends it from here on.
 func (a *attempt) forwardBuffered(ctx context.Context) (outcome, balancer.Result) {
 	isServerError := a.answer.Status >= http.StatusInternalServerError
-	if !isServerError && !a.hearHead() {
+	if isServerError || isNotRunStatus(a.answer.Status) {
+		return a.collectBuffered(ctx, isServerError)
+	}
+	if !a.hearHead() {
 		return a.handleBroken(ctx, a.awaitGivenUp())
 	}
+	o, result := a.collectBuffered(ctx, false)
+	if o != delivered {
+		a.x.progress.arbiter.Drop()
+	}
+	return o, result
+}
+
+// collectBuffered reads an answer that is not a stream and forwards it. A server error is kept
+// instead while the call may be retried.
+func (a *attempt) collectBuffered(ctx context.Context, isServerError bool) (outcome, balancer.Result) {
 	body, err := a.x.f.collector.Collect(a.answer, func() { a.recordPart(isServerError) })
 	if err != nil {
 		return a.handleBroken(ctx, err)
--- a/internal/request/forwarder/headout_test.go
+++ b/internal/request/forwarder/headout_test.go
@@ -105,3 +105,72 @@
 		}
 	})
 }
+
+// TestBanEndsSecondAttempt guards against calls that a ban does not end, although no answer has begun, because an earlier attempt broke
+// off after its head.
+func TestBanEndsSecondAttempt(t *testing.T) {
+	run(t, func(b *bench) {
+		b.serveEngine()
+		runs := 0
+		answer := func(w http.ResponseWriter, r *http.Request) {
+			b.mu.Lock()
+			runs++
+			n := runs
+			b.mu.Unlock()
+			if n == 1 {
+				w.WriteHeader(http.StatusOK)
+				_ = http.NewResponseController(w).Flush()
+				sayNothing(r, 50*time.Millisecond)
+				panic(http.ErrAbortHandler)
+			}
+			silently(w, r)
+		}
+		b.upstream(2, answer)
+		b.upstream(3, answer)
+		b.view.Upstreams[0].Weights, b.view.Upstreams[1].Weights = 1, 1
+		b.update()
+		started := time.Now()
+		time.AfterFunc(500*time.Millisecond, func() {
+			b.forwarder.MergeEvidence(isolator.Evidence{Bans: []isolator.Ban{{Parts: []string{"bad"}, Remaining: time.Minute}}})
+		})
+		a := b.call("/look/1", func(r *http.Request) { r.Header.Set(standin.HeaderPromptParts, "first,bad") })
+		if took := time.Since(started); took > 700*time.Millisecond {
+			t.Errorf("have %d %q after %s and %d runs, want the end of the call at its ban, 500ms", a.status, a.body, took, b.ran(a))
+		}
+	})
+}
+
+// TestEndOfShutdownEndsSecondAttempt guards against streams that have not begun and go on beyond the time for answers at the end of a
+// shutdown, because an earlier attempt had a head that could not be forwarded.
+func TestEndOfShutdownEndsSecondAttempt(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+		run(t, func(b *bench) {
+			b.setTimeouts(2 * shutdownLength)
+			for i := range b.view.Configuration.Routes {
+				b.view.Configuration.Routes[i].Goal = 4 * time.Second
+			}
+			runs := 0
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				b.mu.Lock()
+				runs++
+				n := runs
+				b.mu.Unlock()
+				if n == 1 {
+					sayNothing(r, shutdownLength-answerMargin-800*time.Millisecond)
+					w.WriteHeader(status)
+					return
+				}
+				silently(w, r)
+			}
+			b.upstream(2, answer)
+			b.upstream(3, answer)
+			b.leave(0)
+			started := time.Now()
+			time.Sleep(time.Millisecond)
+			b.call("/chat/1", limit(shutdownLength))
+			if time.Since(started) > shutdownLength-answerMargin+5*time.Millisecond {
+				t.Errorf("first status %d: ended %s late", status, time.Since(started)-(shutdownLength-answerMargin))
+			}
+		})
+	}
+}
