A comment that waits for a slow caller does not make the upstream a silent one

Cause: the timer of the silence was stopped before an event with data was written, and not before one without. While a comment waited for the caller, the data behind it could not be read, and its upstream was given up.

Now no time in which an event is being written counts as silence of the upstream, for the timer and for the checks.

--- a/internal/request/forwarder/attempt.go
+++ b/internal/request/forwarder/attempt.go
@@ -51,6 +51,7 @@
 	isDone     atomic.Bool
 	isSuspect  atomic.Bool // has been silent for so long that another upstream is sought
 	hasEvent   atomic.Bool // an event was received
+	isWriting  atomic.Bool // an event is being written to the caller
 	arbiter    arbiter.Arbiter
 	heardAt    atomic.Int64 // when the call was sent or the last event with data received, in nanoseconds since the arrival of the call
 }
--- a/internal/request/forwarder/stream.go
+++ b/internal/request/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -128,20 +129,34 @@
 		}
 		if event.HasData {
 			a.begin()
-			// A caller that reads slowly does not make the upstream a silent one.
-			a.stallTimer.Stop()
 		}
 		x.beginStream(a.answer.Status, header)
-		if err := x.writeEvent(event.Text); err != nil {
+		if err := a.write(event); err != nil {
 			x.recordUnanswered("caller disconnected during its stream", x.cause(ctx, err), zap.Error(err))
 			return callerGone, balancer.Abandoned
 		}
-		if event.HasData {
-			a.resetStallTimer()
-		}
 	}
 }
 
+// write writes an event to the caller. The time that this takes is no silence of the upstream.
+func (a *attempt) write(e splitter.Event) error {
+	a.isWriting.Store(true)
+	defer a.isWriting.Store(false)
+	began := time.Now()
+	if err := a.x.writeEvent(e.Text); err != nil {
+		return err
+	}
+	took := time.Since(began)
+	a.heardAt.Add(int64(took))
+	switch {
+	case e.HasData:
+		a.resetStallTimer()
+	case took > suspectSilence:
+		a.restartStallTimer()
+	}
+	return nil
+}
+
 // handleNotForwarded handles an attempt whose answer must not begin, or go on, with its next event.
 func (a *attempt) handleNotForwarded(err error) (outcome, balancer.Result) {
 	if errors.Is(err, errSuperseded) {
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -72,9 +72,9 @@
 	a.checkTimer.Reset(next)
 }
 
-// isSilent reports whether the upstream has sent no data for suspectSilence.
+// isSilent reports whether the upstream has sent no data for suspectSilence. A caller that reads slowly does not make it a silent one.
 func (a *attempt) isSilent() bool {
-	return time.Since(a.x.started)-time.Duration(a.heardAt.Load()) >= suspectSilence
+	return !a.isWriting.Load() && time.Since(a.x.started)-time.Duration(a.heardAt.Load()) >= suspectSilence
 }
 
 // startDeadline returns when the answer must have begun; zero if it has, or if there is no limit.
