A report of the run that a call is at, or of one that has sent its answer whole, does not end the call

Callers' streams were cut in the middle, with an event each 50 ms: an engine had restarted, its record told so before its agent did, a call went there, and the agent's first report of the new run cancelled it. Others got 68 of 110 events, since their upstream restarted after it had sent all of them, and they read slowly.

Cause: HasEnded did not ask which run a call was sent to, and checkUpstream cancelled at once, past the decision whether the answer goes on.

Now a report ends only calls of older runs, and only where nothing has come for 0.3 s, by the attempt's arbiter; what has arrived is read first.

Open: a call that is sent by the old record to the new run, and is silent for 0.3 s when its agent reports.

--- a/internal/request/balancer/rival.go
+++ b/internal/request/balancer/rival.go
@@ -120,7 +120,7 @@
 }
 
 // HasEnded reports whether the run of an upstream to which a call was sent at a time has ended: its agent reports a restart
-// that it did not report before that time. Records show nothing, and neither does a first report: the record by which the
+// that it did not report before that time, and that is younger than the run to which the call was sent. Records show nothing, and neither does a first report: the record by which the
 // call was sent may have come from another writer, or from an older copy of the store, and told a wrong start.
 func (b *Balancer) HasEnded(now time.Time, sentTo foxtailwharf.Upstream, sentAt time.Time) bool {
 	u := b.byID[sentTo.ID]
@@ -128,7 +128,7 @@
 		return false
 	}
 	r := b.reportedRuns[u.ID]
-	return r.isRestart && r.since.After(sentAt)
+	return r.isRestart && r.since.After(sentAt) && r.bornMillis > sentTo.Born.UnixMilli()
 }
 
 // MayHaveEnded reports whether the list or the agent of an upstream tell of a younger run than the one that a call was
--- a/internal/request/forwarder/watchdog.go
+++ b/internal/request/forwarder/watchdog.go
@@ -52,8 +52,9 @@
 	if a.isDone.Load() {
 		return
 	}
-	if a.x.f.c.Assigner.HasEnded(a.upstream, a.startedAt) {
-		a.cancel(errUpstreamEnded)
+	// What the upstream had sent before its end is still to be read.
+	parts := a.arbiter.Parts()
+	if a.isSilent() && a.x.f.c.Assigner.HasEnded(a.upstream, a.startedAt) && a.giveUp(parts, errUpstreamEnded) {
 		return
 	}
 	if a.isSilent() && (a.x.f.c.Assigner.IsSuspect(a.upstream) || a.x.f.c.Assigner.MayHaveEnded(a.upstream)) {
