TestSlowCallerLeavesDuringSwitch reaches its switch again, without a race of its own

The test let a search begin while an event with data waited for a slow caller.

Now the first upstream is silent, another one is sought, and a comment of the first one waits for the caller while the other one is chosen. The test checks that one is sought in each call.

--- a/internal/request/forwarder/search_test.go
+++ b/internal/request/forwarder/search_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -127,25 +128,49 @@
 	}
 }
 
-// TestSlowCallerLeavesDuringSwitch guards against slots that are lost when the caller leaves while another
+// silentThenComment streams an event, is silent, and then sends a comment that a connection does not take at once. Where it
+// resumes, it streams more than a connection takes at once. It answers other calls with a text.
+func silentThenComment(w http.ResponseWriter, r *http.Request) {
+	const silence, delay = 550 * time.Millisecond, 100 * time.Millisecond
+	long := strings.Repeat("x", 60<<10)
+	switch {
+	case r.URL.Path != "/chat/1":
+		_, _ = io.WriteString(w, "answer")
+	case r.Header.Get("Last-Event-Id") == "":
+		_, _ = io.WriteString(w, "id: 1\ndata: "+long+"\n\n")
+		_ = http.NewResponseController(w).Flush()
+		sayNothing(r, silence)
+		_, _ = io.WriteString(w, ": "+long+"\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	default:
+		sayNothing(r, delay)
+		longStream(w, r)
+	}
+}
 
-// upstream has been chosen.
+// TestSlowCallerLeavesDuringSwitch guards against slots that are lost when the caller leaves while another upstream has been chosen, and
+// a comment of the first one waits for the caller.
 func TestSlowCallerLeavesDuringSwitch(t *testing.T) {
 	run(t, func(b *bench) {
-		b.upstream(2, longStream)
-		b.upstream(3, longStream)
+		b.upstream(2, silentThenComment)
+		b.upstream(3, silentThenComment)
 		for i := range b.view.Upstreams {
 			b.view.Upstreams[i].Slots = 1
 		}
-		for range 20 {
+		for n := range 20 {
 			b.view.Upstreams[1].IsDraining = true
 			b.update()
-			time.AfterFunc(500*time.Millisecond, func() {
-				b.view.Upstreams[1].IsDraining = false
-				b.update()
-				b.assigner.Report(address(2).Addr(), foxtailwharf.UpstreamLoad{IsDown: true, Running: 1})
-			})
-			b.stalledCaller("/chat/1", 2*time.Second)
+			var caller sync.WaitGroup
+			caller.Go(func() { b.stalledCaller("/chat/1", 2*time.Second) })
+			time.Sleep(500 * time.Millisecond)
+			b.view.Upstreams[1].IsDraining = false
+			b.update()
+			b.assigner.Report(address(2).Addr(), foxtailwharf.UpstreamLoad{IsDown: true, Running: 1})
+			caller.Wait()
+			if sought := b.logs.FilterMessageSnippet("another one is sought").Len(); sought != n+1 {
+				t.Errorf("another upstream was sought %d times in %d calls", sought, n+1)
+			}
 		}
 		b.view.Upstreams[0].IsDraining = true
 		b.update()
